--- /dev/null
+++ b/rig/src/lib.rs
@@ -0,0 +1,4 @@
+//! Stand-ins and simulator for sorreldoor; never shipped.
+
+pub mod rand;
+pub mod sim;
--- /dev/null
+++ b/rig/src/sim/mod.rs
@@ -0,0 +1,321 @@
+//! Cores in virtual time: the very reducers of the product, with a network,
+//! disks and clocks that fail on purpose.
+
+mod askers;
+mod check;
+mod core;
+mod faults;
+
+pub use askers::{Act, Done, Op};
+pub use check::{check, same, Trail};
+pub use core::{Node, Watched};
+pub use faults::{ask, storm};
+
+use crate::rand::Rand;
+use sorreldoor::agree::*;
+use sorreldoor::record::Record;
+use sorreldoor::setup::Site;
+use std::cell::RefCell;
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+use std::sync::Arc;
+
+pub const TICK: Ms = 10;
+
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) enum What {
+    Tick(usize, u64),
+    Arrive { to: usize, from: Nid, msg: Msg },
+    Synced { node: usize, boot: u64, seq: u64 },
+    Thaw(usize, u64),
+}
+
+pub struct Sim {
+    pub now: Ms,
+    pub rng: Rand,
+    pub nodes: Vec<Node>,
+    pub pace: Pace,
+    pub site: Arc<Site>,
+    /// One-way delay within a region and between two.
+    pub near: Ms,
+    pub far: Ms,
+    pub jitter: Ms,
+    pub loss: u64,
+    pub twice: u64,
+    /// Pairs (from, to) whose messages are lost.
+    pub cuts: BTreeSet<(usize, usize)>,
+    /// Lose the next `n` messages that the filter names.
+    pub drop_if: Option<fn(&Msg) -> bool>,
+    pub sent: BTreeMap<&'static str, u64>,
+    pub far_sent: u64,
+    pub trail: Rc<RefCell<Trail>>,
+    pub ops: Vec<Op>,
+    pub notes: Vec<(Ms, Nid, Note)>,
+    queue: BTreeMap<(Ms, u64), What>,
+    count: u64,
+}
+
+pub fn site(regions: usize) -> Arc<Site> {
+    let names = ["a", "b", "c", "d"];
+    Arc::new(Site {
+        regions: names[..regions].iter().map(|s| s.to_string()).collect(),
+        zones: (0..regions as u8)
+            .flat_map(|r| (0..3).map(move |z| (format!("{}{z}", names[r as usize]), r)))
+            .collect(),
+    })
+}
+
+impl Sim {
+    /// `shape[i]` is the region of core i.
+    pub fn new(seed: u64, shape: &[Reg], pace: Pace) -> Sim {
+        let regions = shape.iter().max().map_or(1, |m| *m as usize + 1);
+        let members: Vec<Member> = shape
+            .iter()
+            .enumerate()
+            .map(|(i, r)| member(i, *r, true))
+            .collect();
+        let mut s = Sim {
+            now: 0,
+            rng: Rand::new(seed),
+            nodes: Vec::new(),
+            pace,
+            site: site(regions),
+            near: 1,
+            far: 30,
+            jitter: 2,
+            loss: 0,
+            twice: 0,
+            cuts: BTreeSet::new(),
+            drop_if: None,
+            sent: BTreeMap::new(),
+            far_sent: 0,
+            trail: Rc::default(),
+            ops: Vec::new(),
+            notes: Vec::new(),
+            queue: BTreeMap::new(),
+            count: 0,
+        };
+        for (i, r) in shape.iter().enumerate() {
+            let n = Node::founded(i, *r, &members, &s.site);
+            s.nodes.push(n);
+            s.start(i);
+        }
+        s
+    }
+
+    /// A blank core at a new address, not yet a member of anything.
+    pub fn add_blank(&mut self, region: Reg) -> usize {
+        let i = self.nodes.len();
+        self.nodes.push(Node::blank(i, region));
+        self.start(i);
+        i
+    }
+
+    pub(crate) fn plan(&mut self, at: Ms, w: What) {
+        self.count += 1;
+        self.queue.insert((at, self.count), w);
+    }
+
+    pub fn start(&mut self, i: usize) {
+        let seed = self.rng.draw();
+        let machine = Watched::new(Record::new(self.site.clone()), self.trail.clone(), i);
+        let (pace, now) = (self.pace.clone(), self.now);
+        let boot = self.nodes[i].start(pace, machine, seed, now);
+        let at = now + 1 + self.rng.below(TICK);
+        self.plan(at, What::Tick(i, boot));
+    }
+
+    /// Kill a node; of the saves not yet synced, some first few may survive.
+    pub fn crash(&mut self, i: usize) {
+        let n = self.nodes[i].unsynced() as u64;
+        let survive = self.rng.below(n + 1) as usize;
+        self.nodes[i].crash(survive);
+        self.lose_asks(i);
+    }
+
+    pub fn freeze(&mut self, i: usize, for_ms: Ms) {
+        let until = self.now + for_ms;
+        self.nodes[i].frozen_until = until;
+        let boot = self.nodes[i].boot;
+        self.plan(until, What::Thaw(i, boot));
+    }
+
+    pub fn cut_both(&mut self, a: usize, b: usize) {
+        self.cuts.insert((a, b));
+        self.cuts.insert((b, a));
+    }
+
+    pub fn isolate(&mut self, a: usize) {
+        for b in 0..self.nodes.len() {
+            if a != b {
+                self.cut_both(a, b);
+            }
+        }
+    }
+
+    pub fn heal(&mut self) {
+        self.cuts.clear();
+        self.loss = 0;
+        self.twice = 0;
+        for n in &mut self.nodes {
+            n.sync_ms = 1;
+            n.stuck = false;
+        }
+    }
+
+    pub fn run_for(&mut self, ms: Ms) {
+        let end = self.now + ms;
+        self.run_until(end, |_| false);
+    }
+
+    /// Run until `f` holds or time is up; true if it held.
+    pub fn run_until(&mut self, end: Ms, f: impl Fn(&Sim) -> bool) -> bool {
+        while let Some(at) = self.queue.keys().next().map(|k| k.0) {
+            if f(self) {
+                return true;
+            }
+            if at > end {
+                break;
+            }
+            self.now = self.now.max(at);
+            if let Some((_, w)) = self.queue.pop_first() {
+                self.happen(w);
+            }
+        }
+        self.now = self.now.max(end);
+        f(self)
+    }
+
+    fn happen(&mut self, w: What) {
+        match w {
+            What::Tick(i, boot) => {
+                if self.nodes[i].boot != boot || !self.nodes[i].up() {
+                    return;
+                }
+                let at = self.now + TICK;
+                self.plan(at, What::Tick(i, boot));
+                self.give(i, Event::Alarm);
+            }
+            What::Arrive { to, from, msg } => self.give(to, Event::Heard { from, msg }),
+            What::Synced { node, boot, seq } => {
+                if self.nodes[node].boot == boot && self.nodes[node].up() {
+                    if self.nodes[node].stuck {
+                        let at = self.now + 50;
+                        self.plan(at, What::Synced { node, boot, seq });
+                        return;
+                    }
+                    self.nodes[node].synced(seq);
+                    self.give(node, Event::Saved { seq });
+                }
+            }
+            What::Thaw(i, boot) => {
+                if self.nodes[i].boot == boot {
+                    for ev in std::mem::take(&mut self.nodes[i].waiting) {
+                        self.give(i, ev);
+                    }
+                }
+            }
+        }
+    }
+
+    pub fn give(&mut self, i: usize, ev: Event) {
+        let now = self.now;
+        if !self.nodes[i].up() {
+            return;
+        }
+        if self.nodes[i].frozen_until > now {
+            // why: a frozen process finds its full buffers when it wakes
+            if ev != Event::Alarm && self.nodes[i].waiting.len() < 1000 {
+                self.nodes[i].waiting.push(ev);
+            }
+            return;
+        }
+        let fx = self.nodes[i].step(ev, now);
+        for e in fx {
+            self.effect(i, e);
+        }
+    }
+
+    fn effect(&mut self, i: usize, e: Effect) {
+        match e {
+            Effect::Save { seq, save } => {
+                let boot = self.nodes[i].boot;
+                let wait = self.nodes[i].sync_ms;
+                let at = self.nodes[i].queue_save(seq, save, self.now, wait);
+                self.plan(at, What::Synced { node: i, boot, seq });
+            }
+            Effect::Send { to, msg } => self.carry(i, to, msg),
+            Effect::Result { pid, outcome } => self.resulted(i, pid, outcome),
+            Effect::ReadReady { rid, ok } => self.read_ready(i, rid, ok),
+            Effect::Note(n) => {
+                let id = self.nodes[i].id;
+                if let Note::GlobalLeader { term, id } = &n {
+                    self.trail.borrow_mut().led(*term, *id);
+                }
+                self.notes.push((self.now, id, n));
+            }
+            Effect::Applied { .. } | Effect::Members(_) => {}
+        }
+    }
+
+    fn carry(&mut self, i: usize, to: Nid, msg: Msg) {
+        *self.sent.entry(kind(&msg)).or_default() += 1;
+        let Some(t) = self.nodes.iter().position(|n| n.id == to) else {
+            return;
+        };
+        let away = self.nodes[i].region != self.nodes[t].region;
+        self.far_sent += u64::from(away);
+        let lost = self.cuts.contains(&(i, t))
+            || self.rng.chance(self.loss)
+            || self.drop_if.is_some_and(|f| f(&msg));
+        if lost {
+            return;
+        }
+        let copies = 1 + u64::from(self.rng.chance(self.twice));
+        for _ in 0..copies {
+            let base = if away { self.far } else { self.near };
+            let at = self.now + base + self.rng.below(self.jitter + 1);
+            let (from, msg) = (self.nodes[i].id, msg.clone());
+            self.plan(at, What::Arrive { to: t, from, msg });
+        }
+    }
+
+    pub fn leader(&self) -> Option<usize> {
+        let lead = |n: &Node| {
+            n.agree
+                .as_ref()
+                .filter(|a| a.leads_globally())
+                .map(|a| a.term())
+        };
+        (0..self.nodes.len())
+            .filter(|i| lead(&self.nodes[*i]).is_some())
+            .max_by_key(|i| lead(&self.nodes[*i]))
+    }
+}
+
+pub fn member(i: usize, region: Reg, voter: bool) -> Member {
+    Member {
+        id: i as Nid + 1,
+        region,
+        zone: i as u16,
+        addr: format!("127.0.0.1:{}", 1000 + i),
+        voter,
+    }
+}
+
+pub fn kind(m: &Msg) -> &'static str {
+    match m {
+        Msg::DomainAsk { .. } | Msg::DomainAns { .. } => "domain-vote",
+        Msg::DomainBeat { .. } | Msg::DomainBack { .. } => "domain-beat",
+        Msg::Ask { .. } | Msg::Ans { .. } => "vote",
+        Msg::Append { entries, .. } if entries.is_empty() => "beat",
+        Msg::Append { .. } => "append",
+        Msg::Holds { .. } => "holds",
+        Msg::Confirm { .. } => "confirm",
+        Msg::Install { .. } => "install",
+        Msg::Propose { .. } => "propose",
+        Msg::Answered { .. } => "answered",
+        Msg::ReadAsk { .. } | Msg::ReadAns { .. } => "read",
+        Msg::MoveNow { .. } => "move",
+    }
+}
--- /dev/null
+++ b/sorreldoor/src/agree/commit.rs
@@ -0,0 +1,318 @@
+//! When an entry is committed, who answers for it, and where the leader stands.
+
+use super::node::{Agree, Owed, Role};
+use super::position::{best, Load, View};
+use super::quorum;
+use super::types::*;
+use std::sync::Arc;
+
+impl<M: Machine> Agree<M> {
+    /// What `id` is known to hold, synced, in this term.
+    fn upto(&self, id: Nid) -> u64 {
+        if id == self.me {
+            let own = if self.role == Role::Lead {
+                u64::MAX
+            } else {
+                self.verified
+            };
+            return self.synced_upto().min(own);
+        }
+        self.rows.get(&id).map_or(0, |r| r.upto)
+    }
+
+    pub(super) fn own_row(&mut self) {
+        // why: a Domain Leader's own sync is news for the Global Leader only
+        // through its held-back message, which has just been let go
+        if self.role != Role::Lead && self.drole == Role::Lead {
+            self.try_fast();
+        }
+    }
+
+    fn region_up(&self, r: Reg) -> bool {
+        let live = self.now.saturating_sub(self.pace.dead);
+        quorum::most(&self.region_voters(r), |i| {
+            i == self.me || self.rows.get(&i).is_some_and(|w| w.seen >= live)
+        })
+    }
+
+    pub(super) fn watch_regions(&mut self) {
+        for r in quorum::regions(self.log.members()) {
+            if self.region_up(r) {
+                if self.down.remove(&r) {
+                    self.note(Note::RegionUp { region: r });
+                }
+            } else if self.down.insert(r) {
+                self.note(Note::RegionDown { region: r });
+            }
+        }
+    }
+
+    /// The Global Leader's in-domain commit index.
+    pub(super) fn in_domain(&self) -> u64 {
+        let r = self.region();
+        let i = quorum::held_by_most(&self.region_voters(r), |i| self.upto(i));
+        Some(i)
+            .filter(|i| self.log.term_at(*i) == Some(self.hard.term) && self.region_up(r))
+            .unwrap_or(0)
+            .max(self.commit)
+    }
+
+    pub(super) fn commit_global(&mut self) {
+        let ms = self.log.members().to_vec();
+        let r = self.region();
+        let rs = quorum::regions(&ms);
+        let own = quorum::held_by_most(&self.region_voters(r), |i| self.upto(i));
+        let held = |o: &Reg| quorum::held_by_most(&self.region_voters(*o), |i| self.upto(i));
+        let other = rs.iter().filter(|o| **o != r).map(held).max().unwrap_or(0);
+        let own_up = self.region_up(r);
+        let other_up = rs.iter().any(|o| *o != r && self.region_up(*o));
+        let anchor = if self.pace.broken == Broken::NoAnchor {
+            own.max(1)
+        } else {
+            quorum::held_by_most(&self.voters(), |i| self.upto(i))
+        };
+        let old = self.now.saturating_sub(self.pace.waive);
+        let aged = self
+            .born
+            .iter()
+            .take_while(|(_, t)| *t <= old)
+            .last()
+            .map_or(0, |(i, _)| *i);
+        // why: the core majority is the safety anchor; only the region rules,
+        // and only for a region that does not answer, may be waived
+        let own_ok = if own_up { own.max(aged) } else { u64::MAX };
+        let other_ok = if other_up { other.max(aged) } else { u64::MAX };
+        let c = anchor.min(own_ok).min(other_ok);
+        if c > self.commit && self.log.term_at(c) == Some(self.hard.term) {
+            self.advance(c);
+            while self.born.front().is_some_and(|(i, _)| *i <= c) {
+                self.born.pop_front();
+            }
+        }
+        self.confirm_domains();
+    }
+
+    /// Tell each Domain Leader whose askers wait that this region holds on.
+    fn confirm_domains(&mut self) {
+        let upto = self.in_domain();
+        if upto <= self.confirmed || !self.pace.fast {
+            return;
+        }
+        let ms = self.log.members().to_vec();
+        let mine = self.region();
+        let from = self.confirmed.max(self.log.base().idx);
+        let holders: Vec<Nid> = self
+            .region_voters(mine)
+            .into_iter()
+            .filter(|i| self.upto(*i) >= upto)
+            .collect();
+        let asking: std::collections::BTreeSet<Reg> = (from + 1..=upto)
+            .filter_map(|i| self.log.get(i))
+            .filter(|e| e.pid != 0)
+            .filter_map(|e| quorum::region_of(&ms, e.origin))
+            .filter(|r| *r != mine)
+            .collect();
+        self.confirmed = upto;
+        let term = self.hard.term;
+        let to: Vec<Nid> = asking
+            .iter()
+            .filter_map(|r| self.leads.get(r).map(|l| l.id))
+            .collect();
+        for t in to {
+            let holders = holders.clone();
+            self.send(
+                t,
+                Msg::Confirm {
+                    term,
+                    upto,
+                    holders,
+                },
+            );
+        }
+    }
+
+    pub(super) fn on_confirm(&mut self, term: u64, upto: u64, holders: Vec<Nid>) {
+        // why: a deposed Global Leader's late confirmation proves nothing
+        if term != self.hard.term || self.role == Role::Lead {
+            return;
+        }
+        if self.confirm.as_ref().is_none_or(|(u, _)| upto > *u) {
+            self.confirm = Some((upto, holders));
+        }
+        self.try_fast();
+    }
+
+    /// Fast Return: commit here once both region majorities and the core
+    /// majority hold in this term, without waiting for the Global Leader.
+    pub(super) fn try_fast(&mut self) {
+        if self.drole != Role::Lead || self.role == Role::Lead {
+            return;
+        }
+        let Some((sure, holders)) = self.confirm.clone() else {
+            return;
+        };
+        let r = self.region();
+        let mine = quorum::held_by_most(&self.region_voters(r), |i| self.upto(i));
+        let c = sure.min(mine);
+        if c <= self.commit || self.log.term_at(c) != Some(self.hard.term) {
+            return;
+        }
+        let glr = self
+            .gl
+            .and_then(|g| quorum::region_of(self.log.members(), g));
+        let theirs = glr.map_or(Vec::new(), |g| self.region_voters(g));
+        let has = |i: Nid| holders.contains(&i) || (!theirs.contains(&i) && self.upto(i) >= c);
+        let both = glr != Some(r) && quorum::most(&theirs, |i| holders.contains(&i));
+        if both && quorum::most(&self.voters(), has) {
+            self.advance(c);
+            if let Some(g) = self.gl {
+                self.tell(g, None);
+            }
+        }
+    }
+
+    /// Apply up to `to`, and answer whoever this node answers for.
+    pub(super) fn advance(&mut self, to: u64) {
+        if to <= self.commit {
+            return;
+        }
+        self.commit = to.min(self.log.last().idx);
+        while self.applied < self.commit {
+            let idx = self.applied + 1;
+            let Some(e) = self.log.get(idx).cloned() else {
+                break;
+            };
+            self.applied = idx;
+            let outcome = match &e.body {
+                Body::Noop => continue,
+                Body::Data(d) => Arc::new(self.machine.apply(idx, e.pid, d)),
+                Body::Members(_) => Arc::new(Vec::new()),
+            };
+            self.inflight.remove(&e.pid);
+            self.answer(idx, &e, outcome);
+        }
+        self.out.push(Effect::Applied { upto: self.applied });
+        self.settle_applied();
+        self.compact();
+    }
+
+    fn answer(&mut self, idx: u64, e: &Entry, outcome: Arc<Vec<u8>>) {
+        self.finish(e.pid, Ok(outcome.clone()));
+        if e.origin == self.me {
+            return;
+        }
+        let home = quorum::region_of(self.log.members(), e.origin);
+        let mine = home == Some(self.region());
+        let (pid, to) = (e.pid, e.origin);
+        if mine && (self.role == Role::Lead || self.drole == Role::Lead) {
+            self.send(to, Msg::Answered { pid, outcome });
+        } else if self.role == Role::Lead {
+            // why: its Domain Leader answers first; if it does not, we do
+            let since = self.now;
+            let owed = Owed {
+                since,
+                pid,
+                to,
+                outcome,
+            };
+            self.owed.insert(idx, owed);
+        }
+    }
+
+    /// Answer proposers whose Domain Leader has not been seen to answer.
+    pub(super) fn pay_owed(&mut self) {
+        let ms = self.log.members().to_vec();
+        let fast = self.fast.clone();
+        let home = |o: Nid| quorum::region_of(&ms, o);
+        self.owed
+            .retain(|i, o| home(o.to).is_some_and(|r| fast.get(&r).copied().unwrap_or(0) < *i));
+        let wait = self.pace.resend;
+        let due: Vec<u64> = self
+            .owed
+            .iter()
+            .filter(|(_, o)| {
+                !self.pace.fast
+                    || home(o.to).is_some_and(|r| self.down.contains(&r))
+                    || self.now.saturating_sub(o.since) >= wait
+            })
+            .map(|(i, _)| *i)
+            .collect();
+        for o in due
+            .into_iter()
+            .filter_map(|i| self.owed.remove(&i))
+            .collect::<Vec<_>>()
+        {
+            let (pid, outcome) = (o.pid, o.outcome);
+            self.send(o.to, Msg::Answered { pid, outcome });
+        }
+    }
+
+    pub(super) fn outcome(&self, pid: Pid) -> Option<Arc<Vec<u8>>> {
+        self.machine.answered(pid)
+    }
+
+    fn compact(&mut self) {
+        if self.applied.saturating_sub(self.log.base().idx) < self.pace.keep_log {
+            return;
+        }
+        let Some(last) = self.log.at(self.applied) else {
+            return;
+        };
+        let snap = Snap {
+            last,
+            members: self.log.members_at(last.idx).to_vec(),
+            image: Arc::new(self.machine.image()),
+        };
+        self.log.compact(last.idx);
+        self.image = Some(snap.clone());
+        self.save(Save::Snap { snap, reset: false });
+    }
+
+    /// Every Tp: is there a region from which Ls would be clearly smaller?
+    pub(super) fn judge(&mut self) {
+        if let Some((_, t)) = self.moving {
+            if self.now.saturating_sub(t) > self.pace.elect {
+                self.moving = None;
+            }
+            return;
+        }
+        if self.now < self.judge_at {
+            return;
+        }
+        self.judge_at = self.now + self.pace.tp;
+        let all: Vec<Reg> = quorum::regions(self.log.members()).into_iter().collect();
+        let up: Vec<Reg> = all.iter().copied().filter(|r| self.region_up(*r)).collect();
+        let here = self.region();
+        let to = best(
+            &View {
+                load: &self.load,
+                lat: &self.lat,
+                up: &up,
+                all: &all,
+            },
+            here,
+            self.pace.gain,
+        );
+        for l in self.load.values_mut() {
+            *l = Load {
+                reads: l.reads / 2,
+                writes: l.writes / 2,
+            };
+        }
+        let last = self.log.last().idx;
+        let lead = self
+            .leads
+            .get(&to.unwrap_or(here))
+            .filter(|l| l.id != self.me && self.now.saturating_sub(l.seen) < self.pace.dead)
+            .map(|l| l.id)
+            .filter(|i| self.upto(*i) == last && self.commit == last);
+        if let Some(id) = lead {
+            // why: no entry is added while it moves, so the next leader's log
+            // is as new as any and every proposal is either in it or retried
+            self.moving = Some((id, self.now));
+            self.note(Note::Moving { to: id });
+            let term = self.hard.term;
+            self.send(id, Msg::MoveNow { term });
+        }
+    }
+}
--- /dev/null
+++ b/sorreldoor/src/agree/elect.rs
@@ -0,0 +1,404 @@
+//! Elections: Domain Leaders by their region, the Global Leader among them.
+
+use super::node::{Agree, Lead, Poll, Role};
+use super::quorum;
+use super::types::*;
+
+impl<M: Machine> Agree<M> {
+    pub(super) fn alarm(&mut self) {
+        if self.failed {
+            return;
+        }
+        self.domain_alarm();
+        self.global_alarm();
+        self.check_polls();
+        self.reads_alarm();
+    }
+
+    fn domain_alarm(&mut self) {
+        let mine = self.region_voters(self.region());
+        if self.drole == Role::Lead {
+            let live = self.now.saturating_sub(self.pace.elect);
+            let ok = quorum::most(&mine, |i| {
+                i == self.me || self.dseen.get(&i).is_some_and(|t| *t >= live)
+            });
+            // why: a leader its region no longer hears must not stand in the way
+            if !ok || self.disk_stuck() {
+                self.drole = Role::Follow;
+                self.reset_delect();
+            } else if self.now >= self.beat_at {
+                self.domain_beat();
+            }
+        } else if self.now >= self.delect_at && self.is_voter() && !self.disk_stuck() {
+            self.sound_domain();
+        }
+    }
+
+    fn domain_beat(&mut self) {
+        let (dterm, sent) = (self.hard.dterm, self.now);
+        let r = self.region();
+        self.leads.insert(
+            r,
+            Lead {
+                id: self.me,
+                dterm,
+                seen: sent,
+            },
+        );
+        self.heard_dl = sent;
+        for o in self.others() {
+            self.send(o, Msg::DomainBeat { dterm, sent });
+        }
+    }
+
+    fn global_alarm(&mut self) {
+        if self.role == Role::Lead {
+            self.lead_alarm();
+            return;
+        }
+        if self.drole == Role::Lead && self.now >= self.beat_at {
+            self.beat_at = self.now + self.pace.beat;
+            self.pump_domain(false);
+        }
+        if self.now >= self.elect_at {
+            self.reset_elect();
+            if self.is_voter() && self.may_stand() && !self.disk_stuck() {
+                self.sound_global();
+            }
+        }
+    }
+
+    /// A Domain Leader may stand; without one in its region, any core may.
+    fn may_stand(&self) -> bool {
+        let seen = self.leads.get(&self.region()).map_or(0, |l| l.seen);
+        // why: a region that lost its majority can elect no Domain Leader, yet
+        // may hold the newest log; there the region rule is waived
+        self.drole == Role::Lead
+            || self.now.saturating_sub(seen.max(self.heard_dl)) > self.pace.waive
+    }
+
+    // --- domain ---
+
+    fn sound_domain(&mut self) {
+        self.reset_delect();
+        self.drole = Role::Sound;
+        self.dpoll = Poll {
+            since: self.now,
+            yes: [self.me].into(),
+            ..Poll::default()
+        };
+        self.ask_domain(self.hard.dterm + 1, true);
+        self.check_polls();
+    }
+
+    fn ask_domain(&mut self, dterm: u64, pre: bool) {
+        let last = self.log.last();
+        for o in self.region_voters(self.region()) {
+            if o != self.me {
+                self.send_saved(o, Msg::DomainAsk { dterm, last, pre });
+            }
+        }
+    }
+
+    pub(super) fn on_domain_ask(&mut self, from: Nid, dterm: u64, last: Last, pre: bool) {
+        let newer = last >= self.log.last();
+        if pre {
+            let quiet = self.now.saturating_sub(self.heard_dl) >= self.pace.elect / 2;
+            let yes = newer && quiet && dterm > self.hard.dterm && !self.disk_stuck();
+            self.send_saved(from, Msg::DomainAns { dterm, yes, pre });
+            return;
+        }
+        if dterm > self.hard.dterm {
+            self.domain_term(dterm);
+        }
+        let free = self.hard.dvote.is_none_or(|v| v == from);
+        let yes = dterm == self.hard.dterm && free && newer && !self.disk_stuck();
+        if yes && self.hard.dvote.is_none() {
+            self.hard.dvote = Some(from);
+            self.reset_delect();
+            self.save_hard();
+        }
+        let dterm = self.hard.dterm;
+        self.send_saved(from, Msg::DomainAns { dterm, yes, pre });
+    }
+
+    fn domain_term(&mut self, dterm: u64) {
+        self.hard.dterm = dterm;
+        self.hard.dvote = None;
+        self.drole = Role::Follow;
+        self.save_hard();
+    }
+
+    pub(super) fn on_domain_ans(&mut self, from: Nid, dterm: u64, yes: bool, pre: bool) {
+        if !yes && dterm > self.hard.dterm {
+            self.domain_term(dterm);
+            return;
+        }
+        let want = if pre { Role::Sound } else { Role::Stand };
+        let at = self.hard.dterm + u64::from(pre);
+        if yes && self.drole == want && dterm == at {
+            self.dpoll.yes.insert(from);
+            self.check_polls();
+        }
+    }
+
+    pub(super) fn on_domain_beat(&mut self, from: Nid, dterm: u64, sent: Ms) {
+        let Some(r) = quorum::region_of(self.log.members(), from) else {
+            return;
+        };
+        let known = self.leads.get(&r).map_or(0, |l| l.dterm);
+        if dterm >= known {
+            let seen = self.now;
+            self.leads.insert(
+                r,
+                Lead {
+                    id: from,
+                    dterm,
+                    seen,
+                },
+            );
+        }
+        if r == self.region() {
+            if dterm < self.hard.dterm {
+                return;
+            }
+            if dterm > self.hard.dterm {
+                self.domain_term(dterm);
+            }
+            if self.drole != Role::Lead {
+                self.drole = Role::Follow;
+            }
+            self.heard_dl = self.now;
+            self.reset_delect();
+        }
+        self.send_saved(from, Msg::DomainBack { dterm, sent });
+    }
+
+    pub(super) fn on_domain_back(&mut self, from: Nid, _dterm: u64, sent: Ms) {
+        self.dseen.insert(from, self.now);
+        let r = quorum::region_of(self.log.members(), from);
+        let one = self.now.saturating_sub(sent).div_ceil(2);
+        if let Some(r) = r.filter(|r| *r != self.region()) {
+            let l = self.lat.entry((self.region(), r)).or_insert(one);
+            // why: one slow answer must not make the leader move
+            *l = (*l * 7 + one).div_ceil(8);
+        }
+    }
+
+    // --- global ---
+
+    fn sound_global(&mut self) {
+        self.role = Role::Sound;
+        self.poll = self.new_poll();
+        self.ask_global(self.hard.term + 1, true);
+        self.check_polls();
+    }
+
+    fn new_poll(&self) -> Poll {
+        let mut p = Poll {
+            since: self.now,
+            yes: [self.me].into(),
+            ..Poll::default()
+        };
+        if self.drole == Role::Lead {
+            p.leads.insert(self.me, self.log.last());
+        }
+        p
+    }
+
+    fn ask_global(&mut self, term: u64, pre: bool) {
+        let last = self.log.last();
+        for o in self.voters() {
+            if o != self.me {
+                self.send_saved(o, Msg::Ask { term, last, pre });
+            }
+        }
+    }
+
+    fn stand_global(&mut self) {
+        self.hard.term += 1;
+        self.hard.vote = Some(self.me);
+        self.gl = None;
+        self.forget_term();
+        self.save_hard();
+        self.role = Role::Stand;
+        self.poll = self.new_poll();
+        self.poll.seq = self.seq;
+        self.reset_elect();
+        self.ask_global(self.hard.term, false);
+    }
+
+    pub(super) fn on_move_now(&mut self, term: u64) {
+        if term == self.hard.term && self.drole == Role::Lead && !self.disk_stuck() {
+            self.stand_global();
+            self.check_polls();
+        }
+    }
+
+    pub(super) fn on_ask(&mut self, from: Nid, term: u64, last: Last, pre: bool) {
+        let newer = last >= self.log.last() || self.pace.broken == Broken::VoteStale;
+        let leads = self.drole == Role::Lead;
+        let mine = self.log.last();
+        if pre {
+            let quiet = self.role != Role::Lead
+                && (self.gl.is_none() || self.now.saturating_sub(self.heard_gl) >= self.pace.elect);
+            let yes = newer && quiet && term > self.hard.term && !self.disk_stuck();
+            let term = if yes { term } else { self.hard.term };
+            self.send_saved(
+                from,
+                Msg::Ans {
+                    term,
+                    yes,
+                    pre,
+                    leads,
+                    last: mine,
+                },
+            );
+            return;
+        }
+        if term > self.hard.term {
+            self.take_term(term, None);
+        }
+        let free = self.hard.vote.is_none_or(|v| v == from);
+        let yes = term == self.hard.term
+            && free
+            && newer
+            && self.role == Role::Follow
+            && !self.disk_stuck();
+        if yes && self.hard.vote.is_none() {
+            self.hard.vote = Some(from);
+            self.reset_elect();
+            self.save_hard();
+        }
+        let term = self.hard.term;
+        self.send_saved(
+            from,
+            Msg::Ans {
+                term,
+                yes,
+                pre,
+                leads,
+                last: mine,
+            },
+        );
+    }
+
+    pub(super) fn on_ans(&mut self, from: Nid, ans: (u64, bool, bool), lead: Option<Last>) {
+        let (term, yes, pre) = ans;
+        if !yes && term > self.hard.term {
+            self.take_term(term, None);
+            return;
+        }
+        let want = if pre { Role::Sound } else { Role::Stand };
+        let at = self.hard.term + u64::from(pre && yes);
+        if self.role != want || (yes && term != at) {
+            return;
+        }
+        if let Some(l) = lead {
+            self.poll.leads.insert(from, l);
+        }
+        if yes {
+            self.poll.yes.insert(from);
+        }
+        self.check_polls();
+    }
+
+    /// The election bounds: N-1 Domain Leaders taking part, a log as new as
+    /// N-2 others, and a majority of all cores. Only the last is never waived.
+    fn elected(&self) -> bool {
+        let vs = self.voters();
+        if !quorum::most(&vs, |i| self.poll.yes.contains(&i)) {
+            return false;
+        }
+        let n = quorum::regions(self.log.members()).len();
+        let mine = self.log.last();
+        let newer = self
+            .poll
+            .leads
+            .iter()
+            .filter(|(i, l)| **i != self.me && mine >= **l)
+            .count();
+        let ruled = self.poll.leads.len() + 1 >= n && newer + 2 >= n;
+        // why: with its majority lost a region has no Domain Leader to take part
+        ruled || self.now.saturating_sub(self.poll.since) >= self.pace.waive
+    }
+
+    pub(super) fn check_polls(&mut self) {
+        let mine = self.region_voters(self.region());
+        let dwon = quorum::most(&mine, |i| self.dpoll.yes.contains(&i));
+        if self.drole == Role::Sound && dwon {
+            self.hard.dterm += 1;
+            self.hard.dvote = Some(self.me);
+            self.save_hard();
+            self.drole = Role::Stand;
+            self.dpoll.yes = [self.me].into();
+            self.dpoll.seq = self.seq;
+            self.ask_domain(self.hard.dterm, false);
+        }
+        // why: the own vote counts only once it is synced, like any other's
+        let synced = self.saved >= self.dpoll.seq;
+        let dwon = quorum::most(&mine, |i| self.dpoll.yes.contains(&i));
+        if self.drole == Role::Stand && dwon && synced {
+            self.drole = Role::Lead;
+            self.note(Note::DomainLeader {
+                dterm: self.hard.dterm,
+                id: self.me,
+            });
+            let t = self.now;
+            self.dseen = mine.iter().map(|i| (*i, t)).collect();
+            // why: a Global Leader's rows hold more than its region's and stay good
+            if self.role != Role::Lead {
+                self.rows.clear();
+            }
+            self.domain_beat();
+        }
+        if self.role == Role::Sound && self.elected() {
+            self.stand_global();
+        }
+        if self.role == Role::Stand && self.saved >= self.poll.seq && self.elected() {
+            self.lead();
+        }
+    }
+
+    /// Forget what only held in the term before.
+    fn forget_term(&mut self) {
+        self.verified = 0;
+        self.round_from = 0;
+        self.rows.clear();
+        self.confirm = None;
+        self.confirmed = 0;
+        self.fast.clear();
+        self.owed.clear();
+        self.inflight.clear();
+        self.born.clear();
+        self.proofs.clear();
+        self.moving = None;
+    }
+
+    pub(super) fn take_term(&mut self, term: u64, gl: Option<Nid>) {
+        if self.role == Role::Lead {
+            self.note(Note::SteppedDown {
+                term: self.hard.term,
+                why: "a newer term",
+            });
+        }
+        self.hard.term = term;
+        self.hard.vote = None;
+        self.role = Role::Follow;
+        self.gl = gl;
+        self.forget_term();
+        self.save_hard();
+        self.reset_elect();
+    }
+
+    pub(super) fn step_down(&mut self, why: &'static str) {
+        if self.role == Role::Lead {
+            let term = self.hard.term;
+            self.note(Note::SteppedDown { term, why });
+        }
+        self.role = Role::Follow;
+        self.gl = None;
+        self.forget_term();
+        self.reset_elect();
+    }
+}
--- /dev/null
+++ b/sorreldoor/src/agree/log.rs
@@ -0,0 +1,138 @@
+//! The log in memory: a snapshot's place and the entries after it.
+
+use super::types::{Body, Entry, Last, Member, Snap};
+
+#[derive(Clone, Debug, Default)]
+pub struct Log {
+    base: Last,
+    base_members: Vec<Member>,
+    entries: Vec<Entry>,
+    /// Where membership changed, oldest first; the base's own list is apart.
+    confs: Vec<(u64, Vec<Member>)>,
+}
+
+impl Log {
+    pub fn founded(members: Vec<Member>) -> Log {
+        Log {
+            base_members: members,
+            ..Log::default()
+        }
+    }
+
+    pub fn from_parts(snap: &Snap, entries: Vec<Entry>) -> Log {
+        let mut l = Log {
+            base: snap.last,
+            base_members: snap.members.clone(),
+            ..Log::default()
+        };
+        l.push(entries);
+        l
+    }
+
+    pub fn base(&self) -> Last {
+        self.base
+    }
+
+    pub fn last(&self) -> Last {
+        self.entries.last().map_or(self.base, |e| Last {
+            term: e.term,
+            idx: self.base.idx + self.entries.len() as u64,
+        })
+    }
+
+    pub fn get(&self, idx: u64) -> Option<&Entry> {
+        idx.checked_sub(self.base.idx + 1)
+            .and_then(|i| self.entries.get(i as usize))
+    }
+
+    pub fn term_at(&self, idx: u64) -> Option<u64> {
+        (idx == self.base.idx)
+            .then_some(self.base.term)
+            .or_else(|| self.get(idx).map(|e| e.term))
+    }
+
+    pub fn at(&self, idx: u64) -> Option<Last> {
+        self.term_at(idx).map(|term| Last { term, idx })
+    }
+
+    /// Entries from `from` to `upto` at most, bounded in count and bytes.
+    pub fn range(&self, from: u64, upto: u64) -> Vec<Entry> {
+        let a = from.saturating_sub(self.base.idx + 1) as usize;
+        let z = (upto.saturating_sub(self.base.idx) as usize).min(self.entries.len());
+        let mut room = 512 * 1024usize;
+        self.entries
+            .get(a..z)
+            .unwrap_or(&[])
+            .iter()
+            .take(64)
+            .enumerate()
+            .take_while(|(i, e)| {
+                let n = match &e.body {
+                    Body::Data(d) => d.len(),
+                    _ => 64,
+                };
+                // why: the first always fits, or one large setup could never be sent
+                let ok = *i == 0 || room >= n;
+                room = room.saturating_sub(n);
+                ok
+            })
+            .map(|(_, e)| e.clone())
+            .collect()
+    }
+
+    pub fn push(&mut self, entries: Vec<Entry>) {
+        let mut idx = self.last().idx;
+        for e in entries {
+            idx += 1;
+            if let Body::Members(m) = &e.body {
+                self.confs.push((idx, m.clone()));
+            }
+            self.entries.push(e);
+        }
+    }
+
+    /// Drop `from` and everything after it.
+    pub fn cut(&mut self, from: u64) {
+        let n = from.saturating_sub(self.base.idx + 1) as usize;
+        self.entries.truncate(n);
+        self.confs.retain(|(i, _)| *i < from);
+    }
+
+    pub fn members(&self) -> &[Member] {
+        self.confs.last().map_or(&self.base_members, |(_, m)| m)
+    }
+
+    pub fn members_at(&self, idx: u64) -> &[Member] {
+        self.confs
+            .iter()
+            .rev()
+            .find(|(i, _)| *i <= idx)
+            .map_or(&self.base_members, |(_, m)| m)
+    }
+
+    /// Index of the newest membership entry, or of the base.
+    pub fn conf_idx(&self) -> u64 {
+        self.confs.last().map_or(self.base.idx, |(i, _)| *i)
+    }
+
+    pub fn compact(&mut self, upto: u64) {
+        let Some(at) = self.at(upto) else { return };
+        let n = (upto - self.base.idx) as usize;
+        self.base_members = self.members_at(upto).to_vec();
+        self.entries.drain(..n);
+        self.confs.retain(|(i, _)| *i > upto);
+        self.base = at;
+    }
+
+    pub fn reset(&mut self, snap: &Snap) {
+        *self = Log::from_parts(snap, Vec::new());
+    }
+
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+}
--- /dev/null
+++ b/sorreldoor/src/agree/mod.rs
@@ -0,0 +1,19 @@
+//! CD-Raft as a pure reducer: an event and the time go in, effects come out.
+//! Nothing in here reads a clock, does I/O or starts a thread.
+
+mod accept;
+mod commit;
+mod elect;
+mod log;
+mod node;
+pub mod position;
+mod quorum;
+mod reads;
+mod replicate;
+mod state;
+mod types;
+
+pub use log::Log;
+pub use node::{Agree, Kept};
+pub use position::{best, Load};
+pub use types::*;
--- /dev/null
+++ b/sorreldoor/src/agree/reads.rs
@@ -0,0 +1,222 @@
+//! Proposals and reads as their askers see them.
+
+use super::node::{Agree, Ask, Look, Proof, Role};
+use super::quorum;
+use super::types::*;
+
+impl<M: Machine> Agree<M> {
+    pub(super) fn ask(&mut self, pid: Pid, body: Body) {
+        if let Some(o) = self.outcome(pid) {
+            self.out.push(Effect::Result {
+                pid,
+                outcome: Ok(o),
+            });
+            return;
+        }
+        if self.failed || self.asks.len() >= self.pace.most_pending {
+            let outcome = Err(Lost::Full);
+            self.out.push(Effect::Result { pid, outcome });
+            return;
+        }
+        let since = self.now;
+        self.asks.entry(pid).or_insert(Ask {
+            body,
+            since,
+            sent: None,
+        });
+        self.dispatch(pid);
+    }
+
+    pub(super) fn dispatch(&mut self, pid: Pid) {
+        let Some(gl) = self.gl else { return };
+        let (now, origin) = (self.now, self.me);
+        let Some(a) = self.asks.get_mut(&pid) else {
+            return;
+        };
+        a.sent = Some(now);
+        let body = a.body.clone();
+        if gl == self.me {
+            self.on_propose(pid, origin, body);
+        } else {
+            self.send(gl, Msg::Propose { pid, origin, body });
+        }
+    }
+
+    pub(super) fn on_propose(&mut self, pid: Pid, origin: Nid, body: Body) {
+        if self.role != Role::Lead {
+            return;
+        }
+        if let Some(outcome) = self.outcome(pid) {
+            if origin == self.me {
+                self.finish(pid, Ok(outcome));
+            } else {
+                self.send(origin, Msg::Answered { pid, outcome });
+            }
+            return;
+        }
+        let room = self.log.last().idx.saturating_sub(self.commit) < self.pace.most_pending as u64;
+        // why: a retry of what is already in the log must not enter it twice
+        if self.moving.is_some() || self.inflight.contains_key(&pid) || !room {
+            return;
+        }
+        if let Body::Members(ms) = &body {
+            if !self.may_change(ms) {
+                return;
+            }
+        }
+        if let Some(r) = quorum::region_of(self.log.members(), origin) {
+            self.load.entry(r).or_default().writes += 1;
+        }
+        let term = self.hard.term;
+        self.append(Entry {
+            term,
+            pid,
+            origin,
+            body,
+        });
+    }
+
+    /// One change at a time, one voter at most, and only once this term's
+    /// first entry is committed.
+    fn may_change(&self, new: &[Member]) -> bool {
+        let settled = self.log.conf_idx() <= self.commit
+            && self.log.term_at(self.commit) == Some(self.hard.term);
+        let was: std::collections::BTreeSet<Nid> = self.voters().into_iter().collect();
+        let will: std::collections::BTreeSet<Nid> = quorum::voters(new).map(|m| m.id).collect();
+        settled && !will.is_empty() && was.symmetric_difference(&will).count() <= 1
+    }
+
+    pub(super) fn look(&mut self, rid: u64) {
+        if self.failed || self.looks.len() >= self.pace.most_pending {
+            self.out.push(Effect::ReadReady { rid, ok: false });
+            return;
+        }
+        let since = self.now;
+        self.looks.insert(
+            rid,
+            Look {
+                since,
+                sent: None,
+                idx: None,
+            },
+        );
+        self.send_look(rid);
+    }
+
+    fn send_look(&mut self, rid: u64) {
+        let Some(gl) = self.gl else { return };
+        let now = self.now;
+        if let Some(l) = self.looks.get_mut(&rid) {
+            l.sent = Some(now);
+        }
+        if gl == self.me {
+            self.on_read_ask(gl, rid);
+        } else {
+            self.send(gl, Msg::ReadAsk { rid });
+        }
+    }
+
+    pub(super) fn on_read_ask(&mut self, from: Nid, rid: u64) {
+        let ready = self.log.term_at(self.commit) == Some(self.hard.term);
+        if self.role != Role::Lead || !ready {
+            return;
+        }
+        if let Some(r) = quorum::region_of(self.log.members(), from) {
+            self.load.entry(r).or_default().reads += 1;
+        }
+        let idx = self.in_domain();
+        if self.pace.broken == Broken::ReadUnproved {
+            self.read_proved(from, rid, idx);
+            return;
+        }
+        self.beat();
+        let round = self.round;
+        self.proofs.push_back(Proof {
+            from,
+            rid,
+            idx,
+            round,
+        });
+        self.prove_reads();
+    }
+
+    /// Let go the reads whose round a majority of all cores has echoed.
+    pub(super) fn prove_reads(&mut self) {
+        let vs = self.voters();
+        while let Some(p) = self.proofs.front().cloned() {
+            let proved = quorum::most(&vs, |i| {
+                i == self.me || self.rows.get(&i).is_some_and(|r| r.round >= p.round)
+            });
+            if !proved {
+                break;
+            }
+            self.proofs.pop_front();
+            self.read_proved(p.from, p.rid, p.idx);
+        }
+    }
+
+    fn read_proved(&mut self, from: Nid, rid: u64, idx: u64) {
+        if from == self.me {
+            self.on_read_ans(rid, idx);
+        } else {
+            self.send(from, Msg::ReadAns { rid, idx });
+        }
+    }
+
+    pub(super) fn on_read_ans(&mut self, rid: u64, idx: u64) {
+        if let Some(l) = self.looks.get_mut(&rid) {
+            l.idx.get_or_insert(idx);
+        }
+        self.settle_applied();
+    }
+
+    /// Reads whose index is applied here are ready.
+    pub(super) fn settle_applied(&mut self) {
+        let at = self.applied;
+        let ready: Vec<u64> = self
+            .looks
+            .iter()
+            .filter(|(_, l)| l.idx.is_some_and(|i| i <= at))
+            .map(|(r, _)| *r)
+            .collect();
+        for rid in ready {
+            self.looks.remove(&rid);
+            self.out.push(Effect::ReadReady { rid, ok: true });
+        }
+    }
+
+    /// Retransmit what has had no answer, and give up what is too old.
+    pub(super) fn reads_alarm(&mut self) {
+        let (now, again, most) = (self.now, self.pace.resend * 2, self.pace.ack_ms * 2);
+        let due = |sent: Option<Ms>| sent.is_none_or(|t| now.saturating_sub(t) >= again);
+        let pids: Vec<(Pid, bool, bool)> = self
+            .asks
+            .iter()
+            .filter(|(_, a)| due(a.sent))
+            .map(|(p, a)| (*p, now.saturating_sub(a.since) >= most, a.sent.is_some()))
+            .collect();
+        for (p, old, sent) in pids {
+            if old {
+                // why: what was never sent is surely not taken; the rest may be
+                let lost = if sent { Lost::Unknown } else { Lost::Full };
+                self.finish(p, Err(lost));
+            } else {
+                self.dispatch(p);
+            }
+        }
+        let rids: Vec<(u64, bool)> = self
+            .looks
+            .iter()
+            .filter(|(_, l)| l.idx.is_none() && due(l.sent))
+            .map(|(r, l)| (*r, now.saturating_sub(l.since) >= most))
+            .collect();
+        for (r, old) in rids {
+            if old {
+                self.looks.remove(&r);
+                self.out.push(Effect::ReadReady { rid: r, ok: false });
+            } else {
+                self.send_look(r);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/sorreldoor/src/agree/replicate.rs
@@ -0,0 +1,322 @@
+//! Sending the log: Global Leader to Domain Leaders, those to their regions.
+
+use super::node::{Agree, Role, Row};
+use super::quorum;
+use super::types::*;
+
+impl<M: Machine> Agree<M> {
+    /// Take up the leadership just won.
+    pub(super) fn lead(&mut self) {
+        let now = self.now;
+        let next = self.log.last().idx + 1;
+        self.role = Role::Lead;
+        self.gl = Some(self.me);
+        self.forget_lead();
+        for o in self.others() {
+            let row = Row {
+                next,
+                seen: now,
+                ..Row::default()
+            };
+            self.rows.insert(o, row);
+        }
+        for i in self.commit + 1..next {
+            if let Some(e) = self.log.get(i).filter(|e| e.pid != 0) {
+                self.inflight.insert(e.pid, i);
+            }
+            self.born.push_back((i, now));
+        }
+        self.judge_at = now + self.pace.tp;
+        let (term, id) = (self.hard.term, self.me);
+        self.note(Note::GlobalLeader { term, id });
+        let noop = Entry {
+            term,
+            pid: 0,
+            origin: id,
+            body: Body::Noop,
+        };
+        self.append(noop);
+        self.beat();
+        for p in self.asks.keys().copied().collect::<Vec<_>>() {
+            self.dispatch(p);
+        }
+    }
+
+    fn forget_lead(&mut self) {
+        self.rows.clear();
+        self.born.clear();
+        self.inflight.clear();
+        self.down.clear();
+    }
+
+    pub(super) fn append(&mut self, e: Entry) {
+        let idx = self.log.last().idx + 1;
+        if e.pid != 0 {
+            self.inflight.insert(e.pid, idx);
+        }
+        self.born.push_back((idx, self.now));
+        let is_conf = matches!(e.body, Body::Members(_));
+        self.log.push(vec![e.clone()]);
+        self.save(Save::Append {
+            from: idx,
+            entries: vec![e],
+        });
+        if is_conf {
+            self.members_changed();
+        }
+        self.pump();
+    }
+
+    pub(super) fn members_changed(&mut self) {
+        let ms = self.log.members().to_vec();
+        let (next, now) = (self.log.last().idx, self.now);
+        if self.role == Role::Lead {
+            self.rows.retain(|i, _| ms.iter().any(|m| m.id == *i));
+            for m in ms.iter().filter(|m| m.id != self.me) {
+                self.rows.entry(m.id).or_insert_with(|| Row {
+                    next,
+                    seen: now,
+                    ..Row::default()
+                });
+            }
+        }
+        let rs = quorum::regions(&ms);
+        self.leads
+            .retain(|r, l| rs.contains(r) && ms.iter().any(|m| m.id == l.id));
+        self.down.retain(|r| rs.contains(r));
+        self.out.push(Effect::Members(ms));
+    }
+
+    /// Whom the Global Leader sends to itself; the rest get it from these.
+    fn targets(&self) -> Vec<Nid> {
+        let mine = self.region();
+        let fresh = self.now.saturating_sub(self.pace.dead);
+        let ms = self.log.members();
+        let led = |r: Reg| {
+            self.leads
+                .get(&r)
+                .filter(|l| r != mine && l.seen >= fresh && ms.iter().any(|m| m.id == l.id))
+        };
+        ms.iter()
+            .filter(|m| m.id != self.me)
+            // why: without a Domain Leader in sight the region is served directly
+            .filter(|m| led(m.region).is_none_or(|l| l.id == m.id))
+            .map(|m| m.id)
+            .collect()
+    }
+
+    /// A heartbeat in a new round; reads prove themselves by its echo.
+    pub(super) fn beat(&mut self) {
+        self.round += 1;
+        self.beat_at = self.now + self.pace.beat;
+        for t in self.targets() {
+            self.send_append(t, true);
+        }
+    }
+
+    pub(super) fn lead_alarm(&mut self) {
+        let live = self.now.saturating_sub(self.pace.elect * 2);
+        let vs = self.voters();
+        let heard = quorum::most(&vs, |i| {
+            i == self.me || self.rows.get(&i).is_some_and(|r| r.seen >= live)
+        });
+        if !heard {
+            self.step_down("no majority of cores heard");
+            return;
+        }
+        if self.disk_stuck() {
+            self.step_down("disk does not sync in time");
+            return;
+        }
+        if self.now >= self.beat_at {
+            self.beat();
+        }
+        self.watch_regions();
+        self.pump();
+        self.pay_owed();
+        self.judge();
+    }
+
+    fn send_append(&mut self, to: Nid, beat: bool) {
+        let lead = self.role == Role::Lead;
+        let upto = if lead {
+            self.log.last().idx
+        } else {
+            self.verified
+        };
+        let (gl, round) = if lead {
+            (self.me, self.round)
+        } else {
+            (self.gl.unwrap_or(0), self.round_from)
+        };
+        let (term, now, resend) = (self.hard.term, self.now, self.pace.resend);
+        let row = self.rows.entry(to).or_insert_with(|| Row {
+            next: upto + 1,
+            ..Row::default()
+        });
+        row.next = row.next.min(upto + 1).max(1);
+        if row.next > upto && !beat {
+            return;
+        }
+        let next = row.next;
+        let Some(prev) = self.log.at(next - 1) else {
+            // why: what was compacted away is only in the snapshot
+            let due = now.saturating_sub(row.sent) >= resend || row.sent == 0;
+            let snap = self.image.clone().filter(|_| due);
+            if let Some(snap) = snap {
+                row.sent = now;
+                self.send(
+                    to,
+                    Msg::Install {
+                        term,
+                        gl,
+                        snap,
+                        round,
+                    },
+                );
+            }
+            return;
+        };
+        let entries = self.log.range(next, upto);
+        row.next = next + entries.len() as u64;
+        row.sent = now;
+        let commit = self.commit.min(upto);
+        self.send(
+            to,
+            Msg::Append {
+                term,
+                gl,
+                prev,
+                entries,
+                commit,
+                round,
+            },
+        );
+    }
+
+    /// Send what is new to whoever lacks it, then see what can be committed.
+    pub(super) fn pump(&mut self) {
+        if self.role == Role::Lead {
+            for t in self.targets() {
+                self.send_append(t, false);
+            }
+            self.commit_global();
+            self.prove_reads();
+        } else if self.drole == Role::Lead {
+            self.pump_domain(false);
+            self.try_fast();
+        }
+    }
+
+    /// A Domain Leader passes on what it has verified.
+    pub(super) fn pump_domain(&mut self, beat: bool) {
+        let away = self.gl.is_some_and(|g| g != self.me);
+        let fresh = self.now.saturating_sub(self.heard_gl) < self.pace.elect;
+        let glr = self
+            .gl
+            .and_then(|g| quorum::region_of(self.log.members(), g));
+        // why: in its own region the Global Leader speaks for itself
+        if self.drole != Role::Lead
+            || !away
+            || !fresh
+            || self.verified == 0
+            || glr == Some(self.region())
+        {
+            return;
+        }
+        let r = self.region();
+        let to: Vec<Nid> = self
+            .log
+            .members()
+            .iter()
+            .filter(|m| m.region == r && m.id != self.me)
+            .map(|m| m.id)
+            .collect();
+        for t in to {
+            self.send_append(t, beat);
+        }
+    }
+
+    /// Say what this node, and its region if it leads it, hold in this term.
+    pub(super) fn tell(&mut self, to: Nid, hint: Option<u64>) {
+        let me = Held {
+            id: self.me,
+            upto: self.verified,
+            round: self.round_from,
+        };
+        let mut rows = vec![me];
+        if self.drole == Role::Lead && self.role != Role::Lead {
+            let r = self.region();
+            let ms = self.log.members();
+            rows.extend(
+                self.rows
+                    .iter()
+                    .filter(|(i, _)| quorum::region_of(ms, **i) == Some(r))
+                    .map(|(i, w)| Held {
+                        id: *i,
+                        upto: w.upto,
+                        round: w.round,
+                    }),
+            );
+        }
+        let lat = self.lat.iter().map(|((_, r), l)| (*r, *l)).collect();
+        let msg = Msg::Holds {
+            term: self.hard.term,
+            rows,
+            hint,
+            fast: if self.drole == Role::Lead {
+                self.commit
+            } else {
+                0
+            },
+            lat,
+        };
+        self.send_saved(to, msg);
+    }
+
+    pub(super) fn on_holds(
+        &mut self,
+        from: Nid,
+        term: u64,
+        rows: Vec<Held>,
+        hint: Option<u64>,
+        more: (u64, Vec<(Reg, Ms)>),
+    ) {
+        if term > self.hard.term {
+            self.take_term(term, None);
+            return;
+        }
+        let leads = self.role == Role::Lead || self.drole == Role::Lead;
+        // why: an ack of another term says nothing about this one's log
+        if term < self.hard.term || !leads {
+            return;
+        }
+        let mut grew = false;
+        for h in rows.iter().filter(|h| h.id != self.me) {
+            let now = self.now;
+            let row = self.rows.entry(h.id).or_default();
+            if h.round > row.round || h.upto > row.upto || h.id == from {
+                row.seen = now;
+            }
+            grew |= h.upto > row.upto || h.round > row.round;
+            row.upto = row.upto.max(h.upto);
+            row.round = row.round.max(h.round);
+            row.next = row.next.max(row.upto + 1);
+        }
+        if let Some(row) = hint.and_then(|_| self.rows.get_mut(&from)) {
+            row.next = (hint.unwrap_or(0) + 1).max(row.upto + 1);
+            self.send_append(from, false);
+        }
+        if self.role == Role::Lead {
+            let r = quorum::region_of(self.log.members(), from);
+            if let Some(r) = r {
+                let f = self.fast.entry(r).or_default();
+                *f = (*f).max(more.0);
+                self.lat.extend(more.1.iter().map(|(o, l)| ((r, *o), *l)));
+            }
+        } else if let Some(g) = self.gl.filter(|_| grew) {
+            self.tell(g, None);
+        }
+        self.pump();
+    }
+}
--- /dev/null
+++ b/sorreldoor/src/agree/state.rs
@@ -0,0 +1,203 @@
+//! Views of the reducer's state, and the small pieces its parts share.
+
+use super::log::Log;
+use super::node::{Agree, Role};
+use super::quorum;
+use super::types::*;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+impl<M: Machine> Agree<M> {
+    // --- what others may look at ---
+
+    pub fn me(&self) -> Nid {
+        self.me
+    }
+    pub fn machine(&self) -> &M {
+        &self.machine
+    }
+    pub fn machine_mut(&mut self) -> &mut M {
+        &mut self.machine
+    }
+    pub fn term(&self) -> u64 {
+        self.hard.term
+    }
+    pub fn leads_globally(&self) -> bool {
+        self.role == Role::Lead
+    }
+    pub fn leads_domain(&self) -> bool {
+        self.drole == Role::Lead
+    }
+    pub fn global_leader(&self) -> Option<Nid> {
+        self.gl
+    }
+    pub fn commit_idx(&self) -> u64 {
+        self.commit
+    }
+    pub fn applied_idx(&self) -> u64 {
+        self.applied
+    }
+    pub fn log(&self) -> &Log {
+        &self.log
+    }
+    pub fn members(&self) -> &[Member] {
+        self.log.members()
+    }
+    pub fn regions_down(&self) -> Vec<Reg> {
+        self.down.iter().copied().collect()
+    }
+    pub fn domain_leaders(&self) -> BTreeMap<Reg, Nid> {
+        self.leads.iter().map(|(r, l)| (*r, l.id)).collect()
+    }
+    /// Milliseconds since this node, as Global Leader, heard `id`.
+    pub fn silent_for(&self, id: Nid) -> Option<Ms> {
+        (self.role == Role::Lead)
+            .then(|| self.rows.get(&id).map(|r| self.now.saturating_sub(r.seen)))
+            .flatten()
+    }
+    pub fn caught_up(&self, id: Nid) -> bool {
+        self.rows
+            .get(&id)
+            .is_some_and(|r| r.upto > 0 && r.upto + 8 >= self.log.last().idx)
+    }
+    pub fn disk_failed(&self) -> bool {
+        self.failed
+    }
+
+    // --- small shared pieces ---
+
+    pub(super) fn region(&self) -> Reg {
+        quorum::region_of(self.log.members(), self.me).unwrap_or(Reg::MAX)
+    }
+
+    pub(super) fn is_voter(&self) -> bool {
+        quorum::voters(self.log.members()).any(|m| m.id == self.me)
+    }
+
+    pub(super) fn voters(&self) -> Vec<Nid> {
+        quorum::voters(self.log.members()).map(|m| m.id).collect()
+    }
+
+    pub(super) fn region_voters(&self, r: Reg) -> Vec<Nid> {
+        quorum::in_region(self.log.members(), r)
+    }
+
+    pub(super) fn others(&self) -> Vec<Nid> {
+        self.log
+            .members()
+            .iter()
+            .map(|m| m.id)
+            .filter(|i| *i != self.me)
+            .collect()
+    }
+
+    pub(super) fn rand(&mut self, span: u64) -> u64 {
+        self.rng ^= self.rng << 13;
+        self.rng ^= self.rng >> 7;
+        self.rng ^= self.rng << 17;
+        self.rng % span.max(1)
+    }
+
+    pub(super) fn reset_elect(&mut self) {
+        let r = self.rand(self.pace.elect);
+        self.elect_at = self.now + self.pace.elect + r;
+    }
+
+    pub(super) fn reset_delect(&mut self) {
+        let r = self.rand(self.pace.elect / 2);
+        self.delect_at = self.now + self.pace.elect / 2 + r;
+    }
+
+    pub(super) fn note(&mut self, n: Note) {
+        self.out.push(Effect::Note(n));
+    }
+
+    pub(super) fn save(&mut self, save: Save) {
+        self.seq += 1;
+        // why: from here on the own log does not count as held until synced
+        let from = match &save {
+            Save::Append { from, .. } => *from,
+            Save::Snap { reset: true, .. } => 1,
+            _ => 0,
+        };
+        self.unsaved.push_back((self.seq, self.now, from));
+        self.out.push(Effect::Save {
+            seq: self.seq,
+            save,
+        });
+    }
+
+    pub(super) fn save_hard(&mut self) {
+        let h = self.hard.clone();
+        self.save(Save::Hard(h));
+    }
+
+    /// Send at once: for what a leader says, which relies on no save of its own.
+    pub(super) fn send(&mut self, to: Nid, msg: Msg) {
+        self.out.push(Effect::Send { to, msg });
+    }
+
+    /// Send once all that has been given to the store so far is synced.
+    pub(super) fn send_saved(&mut self, to: Nid, msg: Msg) {
+        if self.unsaved.is_empty() || self.pace.broken == Broken::AckEarly {
+            self.send(to, msg);
+        } else {
+            self.held_back.push_back((self.seq, to, msg));
+        }
+    }
+
+    pub(super) fn on_saved(&mut self, seq: u64) {
+        self.saved = self.saved.max(seq);
+        while self.unsaved.front().is_some_and(|(s, _, _)| *s <= seq) {
+            self.unsaved.pop_front();
+        }
+        while self.held_back.front().is_some_and(|(s, _, _)| *s <= seq) {
+            if let Some((_, to, msg)) = self.held_back.pop_front() {
+                self.send(to, msg);
+            }
+        }
+        self.own_row();
+        self.pump();
+        self.check_polls();
+    }
+
+    pub(super) fn on_save_failed(&mut self) {
+        self.failed = true;
+        self.held_back.clear();
+        self.note(Note::DiskFailed);
+        self.step_down("disk failed");
+        self.drole = Role::Follow;
+        let pids: Vec<Pid> = self.asks.keys().copied().collect();
+        for p in pids {
+            self.finish(p, Err(Lost::Unknown));
+        }
+        for (rid, _) in std::mem::take(&mut self.looks) {
+            self.out.push(Effect::ReadReady { rid, ok: false });
+        }
+    }
+
+    /// The highest index of the own log that is synced.
+    pub(super) fn synced_upto(&self) -> u64 {
+        self.unsaved
+            .iter()
+            .filter(|(_, _, from)| *from > 0)
+            .map(|(_, _, from)| from - 1)
+            .min()
+            .unwrap_or(u64::MAX)
+            .min(self.log.last().idx)
+    }
+
+    pub(super) fn disk_stuck(&self) -> bool {
+        self.failed
+            || self
+                .unsaved
+                .front()
+                .is_some_and(|(_, t, _)| self.now.saturating_sub(*t) > self.pace.stuck)
+    }
+
+    pub(super) fn finish(&mut self, pid: Pid, outcome: Result<Arc<Vec<u8>>, Lost>) {
+        if self.asks.remove(&pid).is_some() {
+            self.out.push(Effect::Result { pid, outcome });
+        }
+    }
+}
--- /dev/null
+++ b/sorreldoor/src/agree/types.rs
@@ -0,0 +1,291 @@
+//! Words that the reducer, its store and its neighbours share.
+
+use serde::{Deserialize, Serialize};
+use std::sync::Arc;
+
+/// A core's identity: random, made on its first start, never given twice.
+pub type Nid = u64;
+/// A region as a dense index into the site's list.
+pub type Reg = u8;
+/// Milliseconds of a monotonic clock that only its own node reads.
+pub type Ms = u64;
+/// A proposal's id, made by whoever first asked for it.
+pub type Pid = u128;
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Member {
+    pub id: Nid,
+    pub region: Reg,
+    pub zone: u16,
+    pub addr: String,
+    pub voter: bool,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Body {
+    Noop,
+    Data(Arc<Vec<u8>>),
+    Members(Vec<Member>),
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Entry {
+    pub term: u64,
+    pub pid: Pid,
+    /// The core that took the proposal from its asker.
+    pub origin: Nid,
+    pub body: Body,
+}
+
+/// How new a log is: last term first, then length.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Last {
+    pub term: u64,
+    pub idx: u64,
+}
+
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Hard {
+    pub term: u64,
+    pub vote: Option<Nid>,
+    pub dterm: u64,
+    pub dvote: Option<Nid>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Snap {
+    pub last: Last,
+    pub members: Vec<Member>,
+    pub image: Arc<Vec<u8>>,
+}
+
+/// One durable step. A store applies them in the order given.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Save {
+    Hard(Hard),
+    /// Cut the log to before `from`, then append.
+    Append {
+        from: u64,
+        entries: Vec<Entry>,
+    },
+    /// Forget the log up to the snapshot; `reset` forgets the rest too.
+    Snap {
+        snap: Snap,
+        reset: bool,
+    },
+}
+
+/// What one core is known to hold in the term of the message.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Held {
+    pub id: Nid,
+    pub upto: u64,
+    pub round: u64,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Msg {
+    DomainAsk {
+        dterm: u64,
+        last: Last,
+        pre: bool,
+    },
+    DomainAns {
+        dterm: u64,
+        yes: bool,
+        pre: bool,
+    },
+    /// A Domain Leader's sign of life; `sent` lets the far side measure.
+    DomainBeat {
+        dterm: u64,
+        sent: Ms,
+    },
+    DomainBack {
+        dterm: u64,
+        sent: Ms,
+    },
+    Ask {
+        term: u64,
+        last: Last,
+        pre: bool,
+    },
+    Ans {
+        term: u64,
+        yes: bool,
+        pre: bool,
+        leads: bool,
+        last: Last,
+    },
+    Append {
+        term: u64,
+        gl: Nid,
+        prev: Last,
+        entries: Vec<Entry>,
+        commit: u64,
+        round: u64,
+    },
+    Holds {
+        term: u64,
+        rows: Vec<Held>,
+        /// Set when the append did not fit: where to go on from.
+        hint: Option<u64>,
+        /// How far the sender has answered proposals of its own region.
+        fast: u64,
+        /// One-way delays from the sender's region, as it measured them.
+        lat: Vec<(Reg, Ms)>,
+    },
+    Confirm {
+        term: u64,
+        upto: u64,
+        holders: Vec<Nid>,
+    },
+    Install {
+        term: u64,
+        gl: Nid,
+        snap: Snap,
+        round: u64,
+    },
+    Propose {
+        pid: Pid,
+        origin: Nid,
+        body: Body,
+    },
+    Answered {
+        pid: Pid,
+        outcome: Arc<Vec<u8>>,
+    },
+    ReadAsk {
+        rid: u64,
+    },
+    ReadAns {
+        rid: u64,
+        idx: u64,
+    },
+    MoveNow {
+        term: u64,
+    },
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Event {
+    Alarm,
+    Heard { from: Nid, msg: Msg },
+    Saved { seq: u64 },
+    SaveFailed,
+    Propose { pid: Pid, body: Body },
+    Read { rid: u64 },
+}
+
+/// Why a proposal or a read ended without an outcome.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Lost {
+    /// It may or may not still be committed: the asker may ask again by id.
+    Unknown,
+    /// Nothing was sent anywhere.
+    Full,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Effect {
+    Save {
+        seq: u64,
+        save: Save,
+    },
+    Send {
+        to: Nid,
+        msg: Msg,
+    },
+    Result {
+        pid: Pid,
+        outcome: Result<Arc<Vec<u8>>, Lost>,
+    },
+    ReadReady {
+        rid: u64,
+        ok: bool,
+    },
+    Applied {
+        upto: u64,
+    },
+    Members(Vec<Member>),
+    Note(Note),
+}
+
+/// What an operator's log should hear of; the daemon numbers these.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Note {
+    GlobalLeader { term: u64, id: Nid },
+    DomainLeader { dterm: u64, id: Nid },
+    SteppedDown { term: u64, why: &'static str },
+    RegionDown { region: Reg },
+    RegionUp { region: Reg },
+    Moving { to: Nid },
+    DiskFailed,
+}
+
+/// The replicated state as the reducer sees it.
+pub trait Machine {
+    /// Apply one committed entry; the outcome goes to whoever proposed it.
+    fn apply(&mut self, idx: u64, pid: Pid, data: &[u8]) -> Vec<u8>;
+    /// The first outcome of a proposal that was applied before.
+    fn answered(&self, pid: Pid) -> Option<Arc<Vec<u8>>>;
+    fn image(&self) -> Vec<u8>;
+    fn load(&mut self, image: &[u8]) -> bool;
+}
+
+/// All waits of the protocol; every one follows from `ack_ms` by default.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Pace {
+    pub beat: Ms,
+    pub elect: Ms,
+    pub ack_ms: Ms,
+    /// Silence after which a region counts as unavailable for commits.
+    pub dead: Ms,
+    /// Wait after which a region rule that cannot be met is waived.
+    pub waive: Ms,
+    pub resend: Ms,
+    /// Age of an unfinished save after which the node holds its disk stuck.
+    pub stuck: Ms,
+    pub tp: Ms,
+    /// A move must save at least this share, in percent.
+    pub gain: u64,
+    pub keep_log: u64,
+    pub most_pending: usize,
+    /// Fast Return on or off; off only to measure what it brings.
+    pub fast: bool,
+    /// Rules broken on purpose, by tests that show a checker can fail.
+    pub broken: Broken,
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Broken {
+    #[default]
+    None,
+    /// Count no core majority for a commit.
+    NoAnchor,
+    /// Send what relies on a save before it is synced.
+    AckEarly,
+    /// Answer reads without proof of still leading.
+    ReadUnproved,
+    /// Vote for logs older than one's own.
+    VoteStale,
+}
+
+impl Pace {
+    pub fn for_ack(ack_ms: Ms) -> Pace {
+        Pace {
+            beat: (ack_ms / 40).clamp(20, 100),
+            elect: ack_ms / 5,
+            ack_ms,
+            dead: ack_ms / 5,
+            waive: ack_ms / 5,
+            resend: ack_ms / 10,
+            stuck: ack_ms / 3,
+            tp: ack_ms * 5,
+            gain: 15,
+            keep_log: 512,
+            most_pending: 512,
+            fast: true,
+            broken: Broken::None,
+        }
+    }
+}
--- /dev/null
+++ b/sorreldoor/src/events.rs
@@ -0,0 +1,71 @@
+//! Numbered log events. Every line a daemon logs starts with its number.
+
+macro_rules! events {
+    ($($name:ident $no:literal $level:ident $text:literal;)*) => {
+        #[derive(Clone, Copy, Debug, PartialEq, Eq)]
+        pub enum Ev { $($name),* }
+
+        impl Ev {
+            pub const ALL: &'static [Ev] = &[$(Ev::$name),*];
+            pub fn no(self) -> u16 {
+                match self { $(Ev::$name => $no),* }
+            }
+            pub fn level(self) -> log::Level {
+                match self { $(Ev::$name => log::Level::$level),* }
+            }
+            pub fn text(self) -> &'static str {
+                match self { $(Ev::$name => $text),* }
+            }
+        }
+    };
+}
+
+events! {
+    Started 100 Info "node started";
+    Leaving 101 Info "told to stop; taking nothing new";
+    Stopped 102 Info "stopped cleanly";
+    Listening 103 Info "listening";
+    Woken 104 Warn "clock jumped or process was frozen; permit dropped";
+    RingFull 105 Warn "a ring between threads is full; its newest entry is dropped";
+    Identity 200 Info "identity made and synced";
+    Founded 201 Info "site founded";
+    Joining 202 Info "blank core joins a founded site as a non-voter";
+    Promised 203 Info "promised to found with these cores";
+    GlobalLeader 210 Info "is Global Leader";
+    DomainLeader 211 Info "is Domain Leader";
+    SteppedDown 212 Warn "gave up its leadership";
+    RegionDown 213 Warn "region unavailable to the Global Leader";
+    RegionUp 214 Info "region available again";
+    Moving 215 Info "handing the global leadership over";
+    Members 216 Info "core members changed";
+    Replacing 217 Warn "replacing a core that has been gone too long";
+    DiskFailed 220 Error "disk cannot be written or synced; this core stands aside";
+    DiskSlow 221 Warn "a save took long";
+    DiskCorrupt 222 Error "data folder is damaged; refusing to start";
+    DiskTorn 223 Warn "an unfinished save at the end of the log was cut";
+    FrameRefused 230 Warn "closed a connection over a frame";
+    SessionUp 240 Info "session with a core node stands";
+    SessionLost 241 Warn "session with a core node lost";
+    NodeJoined 242 Info "a node's session stands";
+    NodeLost 243 Warn "a node's session is gone";
+    DutyTaken 244 Info "takes up a duty under a new epoch";
+    PermitLost 250 Warn "permit ran out; serving nothing";
+    PermitBack 251 Info "permit renewed; serving";
+    SetupAdopted 252 Info "setup adopted";
+    SetupUnread 253 Error "a delivered setup could not be read; keeping none";
+    RosterRead 260 Info "worker list changed";
+    RosterLost 261 Warn "platform's worker list cannot be read";
+    WorkerDark 262 Warn "a worker does not report its load";
+    WorkerBack 263 Info "a worker reports its load again";
+    ErrandUnknown 270 Warn "outcome of a non-repeatable errand is unknown";
+    StreamBroken 271 Warn "a worker's stream broke off";
+    ResultBad 272 Warn "a worker's result was refused";
+    ChangeTaken 280 Info "an operator's change was taken";
+    ChangeRefused 281 Info "an operator's change was refused";
+    RegionState 282 Info "a region's recovery state changed";
+}
+
+/// Log one numbered event with what it is about.
+pub fn say(ev: Ev, about: impl std::fmt::Display) {
+    log::log!(target: "sorreldoor", ev.level(), "E{} {}: {}", ev.no(), ev.text(), about);
+}
--- /dev/null
+++ b/sorreldoor/src/record/apply.rs
@@ -0,0 +1,196 @@
+//! Applying committed entries: the same everywhere, in the same order.
+
+use super::{decode, encode, Cmd, Kept, Outcome, Record, ANSWERED};
+use crate::agree::{Machine, Pid};
+use crate::js;
+use crate::setup;
+use std::sync::Arc;
+
+impl Record {
+    fn run(&mut self, cmd: Cmd) -> Outcome {
+        match cmd {
+            Cmd::Put { base, doc } => self.based(base, |r| r.put(doc.into_bytes())),
+            Cmd::Edit { base, patch } => self.based(base, |r| r.edit(&patch)),
+            Cmd::Zone {
+                base,
+                zone,
+                emptied,
+            } => self.based(base, |r| r.zone(zone, emptied)),
+            Cmd::Duty { holder, above } => {
+                // why: two that raced for the duty must not both think they hold it
+                if above != self.kept.epoch {
+                    return self.old_epoch();
+                }
+                self.kept.epoch += 1;
+                self.kept.holder = holder;
+                self.changed()
+            }
+            Cmd::Tune {
+                epoch,
+                serial,
+                weights,
+            } => self.tune(epoch, serial, weights),
+            Cmd::Region {
+                epoch,
+                region,
+                state,
+            } => {
+                if epoch != self.kept.epoch {
+                    return self.old_epoch();
+                }
+                self.kept.regions.insert(region, state);
+                self.changed()
+            }
+        }
+    }
+
+    fn old_epoch(&self) -> Outcome {
+        Outcome::OldEpoch {
+            epoch: self.kept.epoch,
+        }
+    }
+
+    fn changed(&mut self) -> Outcome {
+        self.kept.rev += 1;
+        Outcome::Taken {
+            serial: self.kept.serial,
+        }
+    }
+
+    fn based(
+        &mut self,
+        base: u64,
+        f: impl FnOnce(&mut Record) -> Result<(), Vec<String>>,
+    ) -> Outcome {
+        // why: of two changes that build on one serial, only the first may win
+        if base != self.kept.serial {
+            return Outcome::Stale {
+                serial: self.kept.serial,
+            };
+        }
+        f(self).map_or_else(
+            |faults| Outcome::Bad { faults },
+            |()| {
+                self.kept.serial += 1;
+                self.changed()
+            },
+        )
+    }
+
+    fn put(&mut self, doc: Vec<u8>) -> Result<(), Vec<String>> {
+        let (s, v) = setup::read(&doc, &self.site)?;
+        self.kept.doc = Some(Arc::new(js::canon(&v)));
+        self.setup = Some(Arc::new(s));
+        // why: tuned weights speak of routes by index, which a new setup moves
+        self.kept.weights = Default::default();
+        Ok(())
+    }
+
+    fn edit(&mut self, patch: &str) -> Result<(), Vec<String>> {
+        let doc = self
+            .kept
+            .doc
+            .clone()
+            .ok_or(vec!["edit: there is no setup to edit yet".to_string()])?;
+        let one = |e| vec![format!("edit: {e}")];
+        let p = js::parse(patch.as_bytes(), setup::MOST_BYTES).map_err(one)?;
+        let mut v = js::parse(doc.as_bytes(), usize::MAX).map_err(one)?;
+        js::merge(&mut v, &p);
+        self.put(js::canon(&v).into_bytes())
+    }
+
+    fn zone(&mut self, zone: u16, emptied: bool) -> Result<(), Vec<String>> {
+        if self.site.zone_name(zone) == "?" {
+            return Err(vec![format!("zone: there is no zone {zone}")]);
+        }
+        if emptied {
+            self.kept.emptied.insert(zone);
+        } else {
+            self.kept.emptied.remove(&zone);
+        }
+        Ok(())
+    }
+
+    fn tune(&mut self, epoch: u64, serial: u64, ws: Vec<(u16, u16, u32)>) -> Outcome {
+        if epoch != self.kept.epoch {
+            return self.old_epoch();
+        }
+        if serial != self.kept.serial {
+            return Outcome::Stale {
+                serial: self.kept.serial,
+            };
+        }
+        let Some(s) = self.setup.clone() else {
+            return Outcome::Bad {
+                faults: vec!["tune: there is no setup".into()],
+            };
+        };
+        for (r, v, w) in ws {
+            let share = s
+                .routes
+                .get(r as usize)
+                .and_then(|x| x.shares.iter().find(|h| h.service == v));
+            // why: whatever a tuner thinks, the operator's bounds hold here
+            if let Some(h) = share {
+                self.kept.weights.insert((r, v), w.clamp(h.least, h.most));
+            }
+        }
+        self.changed()
+    }
+
+    /// What a change would do, without doing it.
+    pub fn tried(&self, cmd: Cmd) -> (Outcome, Record) {
+        let mut r = self.clone();
+        let o = r.run(cmd);
+        (o, r)
+    }
+}
+
+impl Machine for Record {
+    fn apply(&mut self, _idx: u64, pid: Pid, data: &[u8]) -> Vec<u8> {
+        // why: a retry of an entry already applied gets the first answer
+        if let Some(o) = self.kept.answered.get(&pid) {
+            return o.to_vec();
+        }
+        let o = decode::<Cmd>(data).map_or(
+            Outcome::Bad {
+                faults: vec!["proposal: cannot be read".into()],
+            },
+            |c| self.run(c),
+        );
+        let o = Arc::new(encode(&o));
+        self.kept.answered.insert(pid, o.clone());
+        self.kept.order.push_back(pid);
+        if self.kept.order.len() > ANSWERED {
+            self.kept
+                .order
+                .pop_front()
+                .and_then(|p| self.kept.answered.remove(&p));
+        }
+        o.to_vec()
+    }
+
+    fn answered(&self, pid: Pid) -> Option<Arc<Vec<u8>>> {
+        self.kept.answered.get(&pid).cloned()
+    }
+
+    fn image(&self) -> Vec<u8> {
+        encode(&self.kept)
+    }
+
+    fn load(&mut self, image: &[u8]) -> bool {
+        let Some(k) = decode::<Kept>(image) else {
+            return false;
+        };
+        let setup = k
+            .doc
+            .as_ref()
+            .map(|d| setup::read(d.as_bytes(), &self.site));
+        if setup.as_ref().is_some_and(|s| s.is_err()) {
+            return false;
+        }
+        self.setup = setup.and_then(|s| s.ok()).map(|(s, _)| Arc::new(s));
+        self.kept = k;
+        true
+    }
+}
--- /dev/null
+++ b/sorreldoor/src/record/mod.rs
@@ -0,0 +1,153 @@
+//! The replicated state that the system acts on, and how entries change it.
+
+mod apply;
+
+use crate::agree::Pid;
+use crate::setup::{Setup, Site};
+use im::{OrdMap, OrdSet, Vector};
+use serde::{Deserialize, Serialize};
+use std::sync::Arc;
+
+/// What a proposal asks of the record.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Cmd {
+    Put {
+        base: u64,
+        doc: String,
+    },
+    /// An RFC 7396 merge patch on the document.
+    Edit {
+        base: u64,
+        patch: String,
+    },
+    Zone {
+        base: u64,
+        zone: u16,
+        emptied: bool,
+    },
+    /// Take up the tuning duty; each taking raises the epoch.
+    Duty {
+        holder: u64,
+        above: u64,
+    },
+    Tune {
+        epoch: u64,
+        serial: u64,
+        weights: Vec<(u16, u16, u32)>,
+    },
+    Region {
+        epoch: u64,
+        region: u8,
+        state: Recovery,
+    },
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Outcome {
+    Taken { serial: u64 },
+    Stale { serial: u64 },
+    Bad { faults: Vec<String> },
+    OldEpoch { epoch: u64 },
+}
+
+/// Where a region stands between being lost and being served in full.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Recovery {
+    Served,
+    Lost,
+    /// Back, and let in step by step, in percent.
+    Returning(u8),
+}
+
+/// What edges need of the record; `rev` orders it against itself.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct View {
+    pub rev: u64,
+    pub serial: u64,
+    pub doc: Option<Arc<String>>,
+    pub emptied: Vec<u16>,
+    pub weights: Vec<(u16, u16, u32)>,
+    pub regions: Vec<(u8, Recovery)>,
+}
+
+const ANSWERED: usize = 4096;
+
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+struct Kept {
+    /// Raised by every change of any kind.
+    rev: u64,
+    /// Raised by operators' changes only; what these build on.
+    serial: u64,
+    doc: Option<Arc<String>>,
+    emptied: OrdSet<u16>,
+    /// Tuned weights by route and service, within the operator's bounds.
+    weights: OrdMap<(u16, u16), u32>,
+    regions: OrdMap<u8, Recovery>,
+    epoch: u64,
+    holder: u64,
+    answered: OrdMap<Pid, Arc<Vec<u8>>>,
+    order: Vector<Pid>,
+}
+
+#[derive(Clone, Debug)]
+pub struct Record {
+    site: Arc<Site>,
+    kept: Kept,
+    setup: Option<Arc<Setup>>,
+}
+
+impl Record {
+    pub fn new(site: Arc<Site>) -> Record {
+        Record {
+            site,
+            kept: Kept::default(),
+            setup: None,
+        }
+    }
+
+    pub fn rev(&self) -> u64 {
+        self.kept.rev
+    }
+    pub fn serial(&self) -> u64 {
+        self.kept.serial
+    }
+    pub fn epoch(&self) -> u64 {
+        self.kept.epoch
+    }
+    pub fn holder(&self) -> u64 {
+        self.kept.holder
+    }
+    pub fn setup(&self) -> Option<&Arc<Setup>> {
+        self.setup.as_ref()
+    }
+    pub fn region(&self, r: u8) -> Recovery {
+        self.kept
+            .regions
+            .get(&r)
+            .copied()
+            .unwrap_or(Recovery::Served)
+    }
+
+    pub fn view(&self) -> View {
+        let k = &self.kept;
+        View {
+            rev: k.rev,
+            serial: k.serial,
+            doc: k.doc.clone(),
+            emptied: k.emptied.iter().copied().collect(),
+            weights: k.weights.iter().map(|((r, s), w)| (*r, *s, *w)).collect(),
+            regions: k.regions.iter().map(|(r, s)| (*r, *s)).collect(),
+        }
+    }
+}
+
+pub fn encode<T: Serialize>(t: &T) -> Vec<u8> {
+    let mut b = Vec::new();
+    // why: writing to memory fails only where serde itself is misused
+    ciborium::into_writer(t, &mut b).expect("plain data always encodes");
+    b
+}
+
+pub fn decode<T: serde::de::DeserializeOwned>(b: &[u8]) -> Option<T> {
+    ciborium::from_reader(b).ok()
+}
--- /dev/null
+++ b/sorreldoor/src/setup/check.rs
@@ -0,0 +1,225 @@
+//! Reading and checking a setup as a whole: all of it, or every fault.
+
+use super::{Group, Kind, Route, Service, Setup, Share, Site, Warm};
+use crate::js::{self, join, Faults, Obj, Val};
+use std::collections::BTreeMap;
+
+pub const MOST_BYTES: usize = 256 * 1024;
+
+pub fn read(text: &[u8], site: &Site) -> Result<(Setup, Val), Vec<String>> {
+    let v = js::parse(text, MOST_BYTES).map_err(|e| vec![format!("setup: {e}")])?;
+    let mut f = Faults::default();
+    let s = whole(&v, site, &mut f);
+    s.filter(|_| f.none()).map(|s| (s, v)).ok_or(f.0)
+}
+
+fn whole(v: &Val, site: &Site, f: &mut Faults) -> Option<Setup> {
+    let o = f.object(v, "", &["groups", "services", "routes", "spill", "retry"])?;
+    for k in ["groups", "services", "routes"] {
+        if o.get(k).is_none() {
+            f.add(k, "is missing");
+        }
+    }
+    let groups: Vec<Group> = f
+        .named(o.get("groups"), "groups")
+        .into_iter()
+        .filter_map(|(n, v)| group(n, v, f))
+        .collect();
+    let services: Vec<Service> = f
+        .named(o.get("services"), "services")
+        .into_iter()
+        .filter_map(|(n, v)| service(n, v, &groups, f))
+        .collect();
+    let routes: Vec<Route> = f
+        .named(o.get("routes"), "routes")
+        .into_iter()
+        .filter_map(|(n, v)| route(n, v, &services, &groups, f))
+        .collect();
+    if routes.is_empty() && f.none() {
+        f.add("routes", "must name at least one route");
+    }
+    let spill = spill(o.get("spill"), site, f);
+    let retry_percent = o
+        .get("retry")
+        .and_then(|r| f.object(r, "retry", &["percent"]))
+        .and_then(|r| r.num("percent", 0, 20, f))
+        .unwrap_or(10) as u32;
+    Some(Setup {
+        groups,
+        services,
+        routes,
+        spill,
+        retry_percent,
+    })
+}
+
+fn group(n: &str, v: &Val, f: &mut Faults) -> Option<Group> {
+    let p = join("groups", n);
+    let o = f.object(v, &p, &["kind", "slots", "queue", "warmup"])?;
+    let kind = o.must_text("kind", f);
+    let model = kind == Some("model");
+    if kind.is_some_and(|k| k != "model" && k != "web") {
+        f.add(&o.at("kind"), "must be \"model\" or \"web\"");
+    }
+    let slots = o.num("slots", 1, 1024, f).unwrap_or(4) as u32;
+    let queue = o.num("queue", 0, 4096, f).unwrap_or(64) as u32;
+    let w = o
+        .get("warmup")
+        .and_then(|w| f.object(w, &o.at("warmup"), &["first", "after"]));
+    let warm = Warm {
+        first: num_of(&w, "first", (1, 1024), slots, f),
+        after: num_of(&w, "after", (1, 1024), 4, f),
+    };
+    if warm.first > slots {
+        f.add(&o.at("warmup.first"), "must not be above slots");
+    }
+    Some(Group {
+        name: n.to_string(),
+        model,
+        slots,
+        queue,
+        warm,
+    })
+}
+
+fn num_of(o: &Option<Obj>, k: &str, b: (u64, u64), or: u32, f: &mut Faults) -> u32 {
+    o.as_ref()
+        .and_then(|o| o.num(k, b.0, b.1, f))
+        .map_or(or, |n| n as u32)
+}
+
+fn service(n: &str, v: &Val, groups: &[Group], f: &mut Faults) -> Option<Service> {
+    let p = join("services", n);
+    let o = f.object(v, &p, &["groups", "adapter"])?;
+    let names = o.texts("groups", f);
+    if names.is_empty() {
+        f.add(&o.at("groups"), "must name at least one group");
+    }
+    let mut gs = Vec::new();
+    for g in names {
+        let i = groups.iter().position(|x| x.name == g);
+        match i {
+            None => f.add(&o.at("groups"), format!("there is no group {g:?}")),
+            Some(i) if gs.contains(&(i as u16)) => {
+                f.add(&o.at("groups"), format!("names {g:?} twice"))
+            }
+            Some(i) => gs.push(i as u16),
+        }
+    }
+    let adapter = o.text("adapter", f).map(str::to_string);
+    Some(Service {
+        name: n.to_string(),
+        groups: gs,
+        adapter,
+    })
+}
+
+fn route(
+    n: &str,
+    v: &Val,
+    services: &[Service],
+    groups: &[Group],
+    f: &mut Faults,
+) -> Option<Route> {
+    let p = join("routes", n);
+    let keys = [
+        "kind",
+        "repeatable",
+        "streamed",
+        "home",
+        "cutoff_ms",
+        "shares",
+    ];
+    let o = f.object(v, &p, &keys)?;
+    let kind = match o.must_text("kind", f) {
+        Some("prefix") => Kind::Prefix,
+        Some("decode") => Kind::Decode,
+        Some("fetch") => Kind::Fetch,
+        Some(_) => {
+            f.add(&o.at("kind"), "must be \"prefix\", \"decode\" or \"fetch\"");
+            Kind::Fetch
+        }
+        None => Kind::Fetch,
+    };
+    let streamed = o.flag("streamed", f).unwrap_or(kind != Kind::Fetch);
+    let repeatable = o.flag("repeatable", f).unwrap_or(false);
+    let home = o.flag("home", f).unwrap_or(false);
+    let cutoff_ms = o.num("cutoff_ms", 50, 600_000, f).unwrap_or(30_000);
+    let mut shares = Vec::new();
+    for (s, v) in f.named(o.get("shares"), &o.at("shares")) {
+        let at = join(&o.at("shares"), s);
+        let i = services.iter().position(|x| x.name == s);
+        if i.is_none() {
+            f.add(&at, "there is no such service");
+        }
+        let sh = share(i.unwrap_or(0) as u16, v, &at, f);
+        let fits = i.is_none_or(|i| {
+            services[i]
+                .groups
+                .iter()
+                .all(|g| groups[*g as usize].model == (kind != Kind::Fetch))
+        });
+        if !fits {
+            f.add(&at, "its groups are of the wrong kind for this route");
+        }
+        shares.extend(sh);
+    }
+    if shares.iter().map(|s| u64::from(s.weight)).sum::<u64>() == 0 {
+        f.add(&o.at("shares"), "must give some service a weight above 0");
+    }
+    Some(Route {
+        name: n.to_string(),
+        kind,
+        repeatable,
+        streamed,
+        home,
+        cutoff_ms,
+        shares,
+    })
+}
+
+fn share(service: u16, v: &Val, at: &str, f: &mut Faults) -> Option<Share> {
+    let o = f.object(v, at, &["weight", "least", "most"])?;
+    if o.get("weight").is_none() {
+        f.add(&o.at("weight"), "is missing");
+    }
+    let weight = o.num("weight", 0, 1000, f).unwrap_or(0) as u32;
+    // why: without bounds of the operator's own, nothing may tune the weight
+    let least = o.num("least", 0, 1000, f).map_or(weight, |n| n as u32);
+    let most = o.num("most", 0, 1000, f).map_or(weight, |n| n as u32);
+    if !(least..=most).contains(&weight) {
+        f.add(&o.at("weight"), "must lie within least and most");
+    }
+    Some(Share {
+        service,
+        weight,
+        least,
+        most,
+    })
+}
+
+fn spill(v: Option<&Val>, site: &Site, f: &mut Faults) -> BTreeMap<(u8, u8), u32> {
+    let mut out = BTreeMap::new();
+    for (a, row) in f.named(v, "spill") {
+        let p = join("spill", a);
+        let i = site.region(a);
+        if i.is_none() {
+            f.add(&p, "there is no such region");
+        }
+        let Some(o) = f.object(
+            row,
+            &p,
+            &site.regions.iter().map(|r| &r[..]).collect::<Vec<_>>(),
+        ) else {
+            continue;
+        };
+        for (j, b) in site.regions.iter().enumerate() {
+            let n = o.num(b, 0, 100, f);
+            if n.is_some() && i == Some(j as u8) {
+                f.add(&o.at(b), "a region does not spill to itself");
+            }
+            out.extend(i.zip(n).map(|(i, n)| ((i, j as u8), n as u32)));
+        }
+    }
+    out
+}
