--- /dev/null
+++ b/rig/src/fleet.rs
@@ -0,0 +1,359 @@
+//! A whole site on one machine: twelve processes of the product, the workers,
+//! the platform, and the delays between regions.
+
+use crate::link::Link;
+use crate::platform::{Platform, Row};
+use crate::stand::{Make, Stand};
+use async_std::task;
+use simd_json::prelude::*;
+use sorreldoor::http::{self, Broke, Call, Called};
+use sorreldoor::js::{self, Val};
+use std::collections::BTreeMap;
+use std::net::{SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+/// Sizes and delays of a deployment.
+#[derive(Clone, Debug)]
+pub struct Shape {
+    pub site: &'static str,
+    /// Region, its zones, its model workers.
+    pub regions: Vec<(&'static str, Vec<&'static str>, usize)>,
+    pub webs: usize,
+    pub far: Duration,
+    pub edges_per_zone: usize,
+}
+
+pub fn press() -> Shape {
+    Shape {
+        site: "press",
+        regions: vec![("north", vec!["n1", "n2"], 10), ("south", vec!["s1"], 8)],
+        webs: 3,
+        far: Duration::from_millis(25),
+        edges_per_zone: 3,
+    }
+}
+
+pub fn archive() -> Shape {
+    Shape {
+        site: "archive",
+        regions: vec![
+            ("kharkhorin", vec!["k1"], 5),
+            ("ulaanbaatar", vec!["u1", "u2"], 6),
+        ],
+        webs: 3,
+        far: Duration::from_millis(35),
+        edges_per_zone: 3,
+    }
+}
+
+pub struct Node {
+    pub name: String,
+    pub core: bool,
+    pub zone: String,
+    pub region: String,
+    pub listen: Option<SocketAddr>,
+    pub http: SocketAddr,
+    pub file: PathBuf,
+    pub child: Option<Child>,
+    /// Links that this node dials through, by the core's name.
+    pub links: BTreeMap<String, Link>,
+}
+
+pub struct Fleet {
+    pub root: PathBuf,
+    pub shape: Shape,
+    pub nodes: Vec<Node>,
+    pub platform: Platform,
+    pub workers: Vec<Stand>,
+    pub binary: PathBuf,
+}
+
+/// Ports that the system gave, held until the children take them over.
+#[derive(Default)]
+pub struct Held(Vec<TcpListener>);
+
+impl Held {
+    pub fn take(&mut self) -> SocketAddr {
+        let l = TcpListener::bind("127.0.0.1:0").expect("loopback has a free port");
+        let a = l.local_addr().expect("a bound socket has an address");
+        self.0.push(l);
+        a
+    }
+}
+
+/// The product's program, beside the one that runs.
+pub fn binary() -> PathBuf {
+    let me = std::env::current_exe().expect("a running program has a path");
+    me.ancestors()
+        .map(|d| d.join("sorreldoor"))
+        .find(|p| p.is_file())
+        .expect("build the workspace first: cargo build --workspace")
+}
+
+impl Fleet {
+    pub fn start(root: &Path, shape: Shape) -> Fleet {
+        let mut f = task::block_on(Fleet::lay(root, shape));
+        for i in 0..f.nodes.len() {
+            f.spawn(i);
+        }
+        f
+    }
+
+    async fn lay(root: &Path, shape: Shape) -> Fleet {
+        std::fs::create_dir_all(root).expect("the fleet's folder can be made");
+        let platform = Platform::start(None).await.expect("loopback can be bound");
+        let mut workers = Vec::new();
+        let mut rows = Vec::new();
+        let zones: Vec<(&str, &str)> = shape
+            .regions
+            .iter()
+            .flat_map(|(r, zs, _)| zs.iter().map(move |z| (*r, *z)))
+            .collect();
+        for (r, zs, n) in &shape.regions {
+            for i in 0..*n {
+                let m = Make::model(&format!("{r}-gpu{i}"));
+                let w = Stand::start(m, None).await.expect("loopback can be bound");
+                rows.push(row(&w, "gpu", zs[i % zs.len()]));
+                workers.push(w);
+            }
+        }
+        for i in 0..shape.webs {
+            let m = Make::web(&format!("web{i}"));
+            let w = Stand::start(m, None).await.expect("loopback can be bound");
+            rows.push(row(&w, "web", zones[i % zones.len()].1));
+            workers.push(w);
+        }
+        platform.change(|l| *l = rows);
+        let mut held = Held::default();
+        let mut nodes = Vec::new();
+        for (r, z) in &zones {
+            let name = format!("core-{z}");
+            nodes.push(node(root, &mut held, name, true, z, r));
+            for i in 0..shape.edges_per_zone {
+                nodes.push(node(root, &mut held, format!("edge-{z}-{i}"), false, z, r));
+            }
+        }
+        let mut f = Fleet {
+            root: root.to_path_buf(),
+            shape,
+            nodes,
+            platform,
+            workers,
+            binary: binary(),
+        };
+        f.connect().await;
+        drop(held);
+        f
+    }
+
+    /// Lay the links between nodes and cores, and write the settings.
+    async fn connect(&mut self) {
+        let cores: Vec<(String, String, SocketAddr)> = self
+            .nodes
+            .iter()
+            .filter_map(|n| n.listen.map(|a| (n.name.clone(), n.region.clone(), a)))
+            .collect();
+        let seeds: Vec<SocketAddr> = cores.iter().map(|c| c.2).collect();
+        for i in 0..self.nodes.len() {
+            let mut reach = Vec::new();
+            for (name, region, addr) in &cores {
+                let away = *region != self.nodes[i].region;
+                let d = if away { self.shape.far } else { Duration::ZERO };
+                let l = Link::start(*addr, d).await.expect("loopback can be bound");
+                reach.push((*addr, l.addr));
+                self.nodes[i].links.insert(name.clone(), l);
+            }
+            self.write(i, &seeds, &reach);
+        }
+    }
+
+    fn write(&self, i: usize, seeds: &[SocketAddr], reach: &[(SocketAddr, SocketAddr)]) {
+        let n = &self.nodes[i];
+        let mut v = Val::object();
+        let mut regions = Val::object();
+        for (r, zs, _) in &self.shape.regions {
+            let zs: Vec<Val> = zs.iter().map(|z| Val::from(*z)).collect();
+            let _ = regions.insert(*r, zs);
+        }
+        let _ = v.insert("site", self.shape.site);
+        let _ = v.insert("regions", regions);
+        let _ = v.insert("node", n.name.as_str());
+        let _ = v.insert("zone", n.zone.as_str());
+        let _ = v.insert("http", n.http.to_string());
+        let seeds: Vec<Val> = seeds.iter().map(|s| Val::from(s.to_string())).collect();
+        let _ = v.insert("seeds", seeds);
+        let _ = v.insert("platform", self.platform.addr.to_string());
+        let mut m = Val::object();
+        for (a, b) in reach {
+            let _ = m.insert(a.to_string(), b.to_string());
+        }
+        let _ = v.insert("reach", m);
+        if let Some(l) = n.listen {
+            let _ = v.insert("listen", l.to_string());
+            let data = self.root.join(&n.name);
+            let _ = v.insert("data", data.display().to_string());
+        }
+        std::fs::write(&n.file, v.encode()).expect("the fleet's folder can be written");
+    }
+
+    pub fn spawn(&mut self, i: usize) {
+        let n = &mut self.nodes[i];
+        let log = std::fs::OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(self.root.join(format!("{}.log", n.name)))
+            .expect("the fleet's folder can be written");
+        let role = if n.core { "core" } else { "edge" };
+        let child = Command::new(&self.binary)
+            .args([role, "--settings"])
+            .arg(&n.file)
+            .env("ASYNC_STD_THREAD_COUNT", "2")
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(log)
+            .spawn()
+            .expect("the product's program can be started");
+        n.child = Some(child);
+    }
+
+    pub fn kill(&mut self, i: usize) {
+        if let Some(mut c) = self.nodes[i].child.take() {
+            let _ = c.kill();
+            let _ = c.wait();
+        }
+    }
+
+    /// Send a signal by name to one of this fleet's own children.
+    pub fn signal(&self, i: usize, sig: &str) {
+        if let Some(c) = &self.nodes[i].child {
+            let _ = Command::new("kill")
+                .args(["-s", sig, &c.id().to_string()])
+                .status();
+        }
+    }
+
+    pub fn node(&self, name: &str) -> usize {
+        self.nodes
+            .iter()
+            .position(|n| n.name == name)
+            .expect("a node of that name")
+    }
+
+    pub fn edges(&self) -> Vec<usize> {
+        (0..self.nodes.len())
+            .filter(|i| !self.nodes[*i].core)
+            .collect()
+    }
+
+    pub fn cores(&self) -> Vec<usize> {
+        (0..self.nodes.len())
+            .filter(|i| self.nodes[*i].core)
+            .collect()
+    }
+
+    pub fn call(&self, i: usize, c: Call, within: Duration) -> Result<Called, Broke> {
+        task::block_on(http::call(self.nodes[i].http, c, 64 << 20, within))
+    }
+
+    pub fn get(&self, i: usize, path: &str) -> Option<(u16, Val)> {
+        let c = self.call(i, Call::get(path), Duration::from_secs(5)).ok()?;
+        Some((c.status, js::parse(&c.body, usize::MAX).unwrap_or_default()))
+    }
+
+    /// Wait until `f` holds; false when `most` has passed without it.
+    pub fn until(&self, most: Duration, f: impl Fn(&Fleet) -> bool) -> bool {
+        let end = Instant::now() + most;
+        while Instant::now() < end {
+            if f(self) {
+                return true;
+            }
+            std::thread::sleep(Duration::from_millis(50));
+        }
+        f(self)
+    }
+
+    pub fn founded(&self) -> bool {
+        self.cores()
+            .iter()
+            .all(|i| self.get(*i, "/ready").is_some_and(|(s, _)| s == 200))
+    }
+
+    pub fn serving(&self) -> bool {
+        self.edges()
+            .iter()
+            .all(|i| self.get(*i, "/ready").is_some_and(|(s, _)| s == 200))
+    }
+
+    /// Put a whole setup through the operators' client.
+    pub fn ctl(&self, at: usize, args: &[&str]) -> (i32, String) {
+        let out = Command::new(&self.binary)
+            .args(["ctl", "--at", &self.nodes[at].http.to_string()])
+            .args(args)
+            .output()
+            .expect("the product's program can be started");
+        let mut text = String::from_utf8_lossy(&out.stdout).to_string();
+        text += &String::from_utf8_lossy(&out.stderr);
+        (out.status.code().unwrap_or(-1), text)
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        for i in 0..self.nodes.len() {
+            self.kill(i);
+        }
+    }
+}
+
+fn row(w: &Stand, group: &str, zone: &str) -> Row {
+    Row {
+        name: w.make.name.clone(),
+        addr: w.addr,
+        group: group.into(),
+        zone: zone.into(),
+        leaving: false,
+    }
+}
+
+fn node(root: &Path, held: &mut Held, name: String, core: bool, zone: &str, region: &str) -> Node {
+    Node {
+        file: root.join(format!("{name}.json")),
+        listen: core.then(|| held.take()),
+        http: held.take(),
+        name,
+        core,
+        zone: zone.into(),
+        region: region.into(),
+        child: None,
+        links: BTreeMap::new(),
+    }
+}
+
+/// A setup that serves every kind of errand of a deployment.
+pub fn setup(shape: &Shape) -> String {
+    let a = shape.regions[0].0;
+    let b = shape.regions[1].0;
+    format!(
+        r#"{{
+  "groups": {{
+    "gpu": {{"kind": "model", "slots": 4, "queue": 64, "warmup": {{"first": 2, "after": 2}}}},
+    "web": {{"kind": "web", "slots": 16, "queue": 64}}
+  }},
+  "services": {{
+    "llm": {{"groups": ["gpu"]}},
+    "pages": {{"groups": ["web"]}}
+  }},
+  "routes": {{
+    "verdict": {{"kind": "prefix", "streamed": true, "cutoff_ms": 20000, "shares": {{"llm": {{"weight": 100}}}}}},
+    "draft": {{"kind": "decode", "streamed": true, "cutoff_ms": 60000, "shares": {{"llm": {{"weight": 100}}}}}},
+    "question": {{"kind": "decode", "streamed": false, "home": true, "cutoff_ms": 20000, "shares": {{"llm": {{"weight": 100}}}}}},
+    "page": {{"kind": "fetch", "repeatable": true, "streamed": false, "cutoff_ms": 5000, "shares": {{"pages": {{"weight": 100}}}}}}
+  }},
+  "spill": {{"{a}": {{"{b}": 50}}, "{b}": {{"{a}": 50}}}},
+  "retry": {{"percent": 15}}
+}}
+"#
+    )
+}
--- /dev/null
+++ b/rig/tests/fleet.rs
@@ -0,0 +1,104 @@
+//! The whole path as separate processes: twelve nodes, workers, platform.
+
+use http_types::Method;
+use rig::fleet::{archive, press, setup, Fleet, Shape};
+use simd_json::prelude::*;
+use sorreldoor::http::{Call, Called};
+use std::path::PathBuf;
+use std::time::Duration;
+
+const LONG: Duration = Duration::from_secs(40);
+
+fn root(name: &str) -> PathBuf {
+    let d = std::env::temp_dir().join(format!("sorreldoor-rig-{}-{name}", std::process::id()));
+    let _ = std::fs::remove_dir_all(&d);
+    d
+}
+
+fn start(name: &str, shape: Shape) -> Fleet {
+    let f = Fleet::start(&root(name), shape);
+    assert!(f.until(LONG, |f| f.founded()), "the site is founded");
+    let file = f.root.join("setup.json");
+    std::fs::write(&file, setup(&f.shape)).unwrap();
+    let (code, text) = f.ctl(0, &["put", &file.display().to_string(), "--base", "0"]);
+    assert_eq!(code, 0, "{text}");
+    assert!(f.until(LONG, |f| f.serving()), "every edge serves");
+    f
+}
+
+fn post(f: &Fleet, i: usize, route: &str, heads: &[(&'static str, &str)], body: &str) -> Called {
+    let c = Call {
+        method: Method::Post,
+        path: format!("/v1/errand/{route}"),
+        heads: heads.iter().map(|(k, v)| (*k, v.to_string())).collect(),
+        body: body.as_bytes().to_vec(),
+    };
+    f.call(i, c, LONG).expect("the edge answers")
+}
+
+fn lines(c: &Called) -> usize {
+    c.body.iter().filter(|b| **b == b'\n').count()
+}
+
+fn serves_all_kinds(f: &Fleet) {
+    let home = f.shape.regions[0].0;
+    for i in f.edges() {
+        let body = r#"{"prefix_chars":2000,"tail_chars":50,"events":3}"#;
+        let c = post(f, i, "verdict", &[("x-prefix-key", "k1")], body);
+        assert_eq!((c.status, lines(&c)), (200, 3));
+        let c = post(f, i, "draft", &[], r#"{"tail_chars":50,"events":20}"#);
+        assert_eq!((c.status, lines(&c)), (200, 20));
+        let c = post(f, i, "question", &[("x-home", home)], r#"{"tail_chars":9}"#);
+        let here = f.nodes[i].region == home;
+        assert_eq!(c.status, if here { 200 } else { 307 });
+        let page = f.call(i, Call::get("/v1/errand/page/a/b"), LONG).unwrap();
+        assert_eq!((page.status, &page.body[..]), (200, &b"<p>/a/b</p>"[..]));
+    }
+    let far = f.workers.iter().filter(|w| !w.make.name.starts_with(home));
+    assert!(far
+        .filter(|w| w.make.model)
+        .all(|w| w.book().ran.iter().all(|id| !id.is_empty())));
+}
+
+#[test]
+fn press_serves_every_kind_through_twelve_processes() {
+    let f = start("press", press());
+    serves_all_kinds(&f);
+    let (_, v) = f.get(0, "/v1/status").unwrap();
+    assert!(f.until(LONG, |f| {
+        let s = f.get(0, "/v1/status").map(|(_, v)| v).unwrap_or_default();
+        let seats = s.get("edges").and_then(|e| e.as_array()).cloned();
+        seats.is_some_and(|e| {
+            e.len() == 9
+                && e.iter()
+                    .all(|e| e.get("permit").and_then(|p| p.as_bool()) == Some(true))
+        })
+    }));
+    assert_eq!(
+        v.get("cores").and_then(|c| c.as_array()).map(|c| c.len()),
+        Some(3)
+    );
+}
+
+#[test]
+fn archive_keeps_what_it_took_when_all_nodes_are_killed_at_once() {
+    let mut f = start("archive", archive());
+    serves_all_kinds(&f);
+    let zone = f.nodes[0].zone.clone();
+    let (code, text) = f.ctl(4, &["evacuate", &zone, "--base", "1"]);
+    assert_eq!(code, 0, "{text}");
+    for i in 0..f.nodes.len() {
+        f.kill(i);
+    }
+    for i in 0..f.nodes.len() {
+        f.spawn(i);
+    }
+    assert!(f.until(LONG, |f| f.founded()), "the cores are back");
+    for i in f.cores() {
+        let (s, v) = f.get(i, "/v1/setup").unwrap();
+        assert_eq!(s, 200);
+        assert_eq!(v.get("serial").and_then(|s| s.as_u64()), Some(2));
+        let emptied = v.get("emptied").and_then(|e| e.as_array()).cloned();
+        assert_eq!(emptied.map(|e| e.len()), Some(1));
+    }
+}
--- a/sorreldoor/src/agree/elect.rs
+++ b/sorreldoor/src/agree/elect.rs
@@ -34,7 +34,7 @@
         }
     }
 
-    fn domain_beat(&mut self) {
+    pub(super) fn domain_beat(&mut self) {
         let (dterm, sent) = (self.hard.dterm, self.now);
         let r = self.region();
         self.leads.insert(
@@ -91,7 +91,7 @@
         self.check_polls();
     }
 
-    fn ask_domain(&mut self, dterm: u64, pre: bool) {
+    pub(super) fn ask_domain(&mut self, dterm: u64, pre: bool) {
         let last = self.log.last();
         for o in self.region_voters(self.region()) {
             if o != self.me {
@@ -215,7 +215,7 @@
         }
     }
 
-    fn stand_global(&mut self) {
+    pub(super) fn stand_global(&mut self) {
         self.hard.term += 1;
         self.hard.vote = Some(self.me);
         self.gl = None;
@@ -303,63 +303,6 @@
         self.check_polls();
     }
 
-    /// The election bounds: N-1 Domain Leaders taking part, a log as new as
-    /// N-2 others, and a majority of all cores. Only the last is never waived.
-    fn elected(&self) -> bool {
-        let vs = self.voters();
-        if !quorum::most(&vs, |i| self.poll.yes.contains(&i)) {
-            return false;
-        }
-        let n = quorum::regions(self.log.members()).len();
-        let mine = self.log.last();
-        let newer = self
-            .poll
-            .leads
-            .iter()
-            .filter(|(i, l)| **i != self.me && mine >= **l)
-            .count();
-        let ruled = self.poll.leads.len() + 1 >= n && newer + 2 >= n;
-        // why: with its majority lost a region has no Domain Leader to take part
-        ruled || self.now.saturating_sub(self.poll.since) >= self.pace.waive
-    }
-
-    pub(super) fn check_polls(&mut self) {
-        let mine = self.region_voters(self.region());
-        let dwon = quorum::most(&mine, |i| self.dpoll.yes.contains(&i));
-        if self.drole == Role::Sound && dwon {
-            self.hard.dterm += 1;
-            self.hard.dvote = Some(self.me);
-            self.save_hard();
-            self.drole = Role::Stand;
-            self.dpoll.yes = [self.me].into();
-            self.dpoll.seq = self.seq;
-            self.ask_domain(self.hard.dterm, false);
-        }
-        // why: the own vote counts only once it is synced, like any other's
-        let synced = self.saved >= self.dpoll.seq;
-        let dwon = quorum::most(&mine, |i| self.dpoll.yes.contains(&i));
-        if self.drole == Role::Stand && dwon && synced {
-            self.drole = Role::Lead;
-            self.note(Note::DomainLeader {
-                dterm: self.hard.dterm,
-                id: self.me,
-            });
-            let t = self.now;
-            self.dseen = mine.iter().map(|i| (*i, t)).collect();
-            // why: a Global Leader's rows hold more than its region's and stay good
-            if self.role != Role::Lead {
-                self.rows.clear();
-            }
-            self.domain_beat();
-        }
-        if self.role == Role::Sound && self.elected() {
-            self.stand_global();
-        }
-        if self.role == Role::Stand && self.saved >= self.poll.seq && self.elected() {
-            self.lead();
-        }
-    }
-
     /// Forget what only held in the term before.
     fn forget_term(&mut self) {
         self.verified = 0;
--- a/sorreldoor/src/agree/mod.rs
+++ b/sorreldoor/src/agree/mod.rs
@@ -11,6 +11,7 @@
 mod reads;
 mod replicate;
 mod state;
+mod tally;
 mod types;
 
 pub use log::Log;
--- a/sorreldoor/src/agree/node.rs
+++ b/sorreldoor/src/agree/node.rs
@@ -186,6 +186,30 @@
         a
     }
 
+    /// A first member of a new site; the founding is its first save.
+    pub fn found(
+        me: Nid,
+        pace: Pace,
+        members: Vec<Member>,
+        machine: M,
+        seed: u64,
+        now: Ms,
+    ) -> Agree<M> {
+        let snap = Snap {
+            last: Last::default(),
+            members: members.clone(),
+            image: Arc::new(machine.image()),
+        };
+        let kept = Kept {
+            hard: Hard::default(),
+            log: Log::founded(members),
+            snap: Some(snap.clone()),
+        };
+        let mut a = Agree::new(me, pace, kept, machine, seed, now);
+        a.save(Save::Snap { snap, reset: true });
+        a
+    }
+
     /// The one door: every event passes here, and effects come back in order.
     pub fn step(&mut self, ev: Event, now: Ms) -> Vec<Effect> {
         self.now = self.now.max(now);
--- /dev/null
+++ b/sorreldoor/src/core/duty.rs
@@ -0,0 +1,127 @@
+//! The one-node duty: gather loads and tune weights, by the first live core
+//! in an agreed order, under an epoch that the record keeps.
+
+use super::events::HubFx;
+use super::hub::Hub;
+use crate::agree::*;
+use crate::events::Ev;
+use crate::record::{encode, Cmd};
+use crate::roster::{Load, Loads};
+use crate::tune;
+use crate::wire::Payload;
+use std::sync::Arc;
+
+const SETTLE_MS: Ms = 1000;
+const GATHER_MS: Ms = 500;
+const TUNE_MS: Ms = 2000;
+
+impl Hub {
+    /// The agreed order: by zone, then identity; voters only.
+    fn first_live(&self) -> Option<Nid> {
+        let a = self.agree.as_ref()?;
+        let live = self.live_cores(1500);
+        let mut ms: Vec<&Member> = a.members().iter().filter(|m| m.voter).collect();
+        ms.sort_by_key(|m| (m.zone, m.id));
+        ms.iter()
+            .find(|m| m.id == self.me.id || live.contains_key(&m.id))
+            .map(|m| m.id)
+    }
+
+    pub fn on_duty(&self) -> bool {
+        self.agree
+            .as_ref()
+            .is_some_and(|a| a.machine().holder() == self.me.id)
+    }
+
+    pub(super) fn duty_alarm(&mut self) {
+        if self.first_live() != Some(self.me.id) || self.leaving {
+            self.first_since = None;
+            return;
+        }
+        let since = *self.first_since.get_or_insert(self.now);
+        if !self.on_duty() {
+            // why: a core that flaps must not take the duty to and fro
+            if self.now.saturating_sub(since) >= SETTLE_MS && self.duty_pid.is_none() {
+                self.take_duty();
+            }
+            return;
+        }
+        if self.now >= self.duty_at {
+            self.duty_at = self.now + GATHER_MS;
+            self.gather();
+        }
+        if self.now >= self.tune_at {
+            self.tune_at = self.now + TUNE_MS;
+            self.tune();
+        }
+    }
+
+    fn take_duty(&mut self) {
+        let above = self.agree.as_ref().map_or(0, |a| a.machine().epoch());
+        let holder = self.me.id;
+        self.say(Ev::DutyTaken, format!("epoch {}", above + 1));
+        self.propose(Cmd::Duty { holder, above });
+    }
+
+    fn propose(&mut self, cmd: Cmd) {
+        let pid = self.own_pid();
+        self.duty_pid = Some(pid);
+        let body = Body::Data(Arc::new(encode(&cmd)));
+        self.agreed(Event::Propose { pid, body });
+    }
+
+    fn epoch(&self) -> u64 {
+        self.agree.as_ref().map_or(0, |a| a.machine().epoch())
+    }
+
+    fn gather(&mut self) {
+        let epoch = self.epoch();
+        let to = self.roster.as_ref().map_or(Vec::new(), |r| {
+            r.workers.iter().map(|w| (w.name.clone(), w.addr)).collect()
+        });
+        self.out.push(HubFx::AskLoads(epoch, to));
+    }
+
+    pub(super) fn on_loads(&mut self, epoch: u64, rows: Vec<Load>) {
+        if epoch != self.epoch() || !self.on_duty() {
+            return;
+        }
+        for l in &rows {
+            let was = self.loads.of(&l.name).map(|o| o.live);
+            if was != Some(l.live) {
+                if !l.live {
+                    self.out.push(HubFx::Say(Ev::WorkerDark, l.name.clone()));
+                } else if was.is_some() {
+                    self.out.push(HubFx::Say(Ev::WorkerBack, l.name.clone()));
+                }
+            }
+        }
+        let serial = self.loads.serial + 1;
+        let l = Arc::new(Loads {
+            epoch,
+            serial,
+            rows,
+        });
+        self.loads = l.clone();
+        for (c, _) in self.live_cores(3000).into_values() {
+            self.send(c, Payload::Loads(l.clone()));
+        }
+    }
+
+    fn tune(&mut self) {
+        let Some(a) = &self.agree else { return };
+        let r = a.machine();
+        let (Some(s), Some(ro)) = (r.setup(), &self.roster) else {
+            return;
+        };
+        let weights = tune::step(s, &r.view().weights, ro, &self.loads);
+        let (epoch, serial) = (r.epoch(), r.serial());
+        if !weights.is_empty() && self.duty_pid.is_none() {
+            self.propose(Cmd::Tune {
+                epoch,
+                serial,
+                weights,
+            });
+        }
+    }
+}
--- /dev/null
+++ b/sorreldoor/src/core/events.rs
@@ -0,0 +1,88 @@
+//! What goes into the hub's reducer, and what comes out.
+
+use crate::agree::*;
+use crate::events::Ev;
+use crate::net::{Conn, NetEvent};
+use crate::record::Cmd;
+use crate::roster::{Load, Roster};
+use crate::setup::Site;
+use crate::wire::*;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// Who waits for an operator's change.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum OpFrom {
+    Http(u64),
+    Edge(Conn, u64),
+}
+
+/// What a reader of this core's state wants once it is proved current.
+#[derive(Clone, Debug)]
+pub enum Want {
+    Http(u64),
+    Find(OpFrom, Pid),
+    Grant { conn: Conn, no: u64, have: Have },
+}
+
+#[derive(Debug)]
+pub enum HubEvent {
+    Alarm,
+    Net(NetEvent),
+    Saved(u64),
+    SaveFailed(String),
+    Change {
+        rid: u64,
+        pid: Pid,
+        cmd: Cmd,
+    },
+    /// Replace the members, one voter at a time; from `ctl`.
+    Reform {
+        rid: u64,
+        pid: Pid,
+        drop: Nid,
+    },
+    Look {
+        rid: u64,
+    },
+    /// What became of a proposal, once this core is proved current.
+    Find {
+        rid: u64,
+        pid: Pid,
+    },
+    Roster(Result<Roster, String>),
+    Loads {
+        epoch: u64,
+        rows: Vec<Load>,
+    },
+    Stop,
+}
+
+#[derive(Debug)]
+pub enum HubFx {
+    Save(u64, Save),
+    /// Keep a small file, synced, before anything that follows.
+    Keep(&'static str, Vec<u8>),
+    Send(Conn, Payload),
+    Dial(SocketAddr),
+    Undial(SocketAddr),
+    Close(Conn),
+    Done(u64, OpOutcome),
+    /// The state is proved current; the daemon reads it off now.
+    Looked(u64, bool),
+    /// Ask these workers for their load, under the epoch given.
+    AskLoads(u64, Vec<(String, SocketAddr)>),
+    Say(Ev, String),
+}
+
+/// What a hub starts from.
+pub struct Start {
+    pub me: Hello,
+    pub site: Arc<Site>,
+    pub seeds: Vec<SocketAddr>,
+    pub cores: usize,
+    pub replace_ms: Ms,
+    pub pace: Pace,
+    pub seed: u64,
+    pub promise: Option<Vec<Member>>,
+}
--- /dev/null
+++ b/sorreldoor/src/core/hub.rs
@@ -0,0 +1,346 @@
+//! The core's one reducer: frames, saves, operators and alarms in, effects out.
+
+use super::events::{HubEvent, HubFx, OpFrom, Start, Want};
+use crate::agree::*;
+use crate::events::Ev;
+use crate::net::{Conn, NetEvent};
+use crate::record::{encode, Cmd, Record};
+use crate::roster::{Loads, Roster};
+use crate::setup::Site;
+use crate::wire::*;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+#[derive(Clone, Debug)]
+pub struct Line {
+    pub dialled: Option<SocketAddr>,
+    pub hello: Option<Hello>,
+    pub heard: Ms,
+}
+
+pub struct Hub {
+    pub me: Hello,
+    pub site: Arc<Site>,
+    pub(super) cores: usize,
+    pub(super) replace_ms: Ms,
+    pub(super) pace: Pace,
+    pub(super) seed: u64,
+    pub agree: Option<Agree<Record>>,
+    pub(super) promise: Option<Vec<Member>>,
+    pub(super) promises: BTreeMap<Nid, Vec<Member>>,
+    pub(super) seeds: Vec<SocketAddr>,
+    pub(super) dials: BTreeSet<SocketAddr>,
+    pub(super) lines: BTreeMap<Conn, Line>,
+    pub(super) seats: BTreeMap<Conn, Seat>,
+    pub(super) seats_serial: u64,
+    pub(super) sessions: BTreeMap<Nid, Sessions>,
+    pub(super) merged: (u64, Vec<Seat>),
+    pub roster: Option<Arc<Roster>>,
+    pub roster_problem: Option<String>,
+    pub loads: Arc<Loads>,
+    pub(super) wants: Vec<Want>,
+    pub(super) reading: BTreeMap<u64, Vec<Want>>,
+    pub(super) next_rid: u64,
+    pub(super) ops: BTreeMap<Pid, Vec<OpFrom>>,
+    pub(super) first_since: Option<Ms>,
+    pub(super) duty_at: Ms,
+    pub(super) duty_pid: Option<Pid>,
+    pub(super) tune_at: Ms,
+    pub(super) slow_at: Ms,
+    pub(super) last_serial: u64,
+    pub leaving: bool,
+    pub now: Ms,
+    pub(super) out: Vec<HubFx>,
+}
+
+impl Hub {
+    pub fn new(s: Start, kept: Option<Kept>, now: Ms) -> Hub {
+        let mut h = Hub {
+            me: s.me,
+            site: s.site,
+            cores: s.cores,
+            replace_ms: s.replace_ms,
+            pace: s.pace,
+            seed: s.seed,
+            agree: None,
+            promise: s.promise,
+            promises: BTreeMap::new(),
+            seeds: s.seeds,
+            dials: BTreeSet::new(),
+            lines: BTreeMap::new(),
+            seats: BTreeMap::new(),
+            seats_serial: 0,
+            sessions: BTreeMap::new(),
+            merged: (0, Vec::new()),
+            roster: None,
+            roster_problem: None,
+            loads: Arc::default(),
+            wants: Vec::new(),
+            reading: BTreeMap::new(),
+            next_rid: 1,
+            ops: BTreeMap::new(),
+            first_since: None,
+            duty_at: now,
+            duty_pid: None,
+            tune_at: now,
+            slow_at: now,
+            last_serial: 0,
+            leaving: false,
+            now,
+            out: Vec::new(),
+        };
+        if let Some(k) = kept {
+            let mut r = Record::new(h.site.clone());
+            if let Some(s) = &k.snap {
+                r.load(&s.image);
+            }
+            h.agree = Some(Agree::new(h.me.id, h.pace.clone(), k, r, h.seed, now));
+            h.me.founded = true;
+        }
+        h.redial();
+        h
+    }
+
+    pub fn step(&mut self, ev: HubEvent, now: Ms) -> Vec<HubFx> {
+        self.now = self.now.max(now);
+        match ev {
+            HubEvent::Alarm => self.alarm(),
+            HubEvent::Net(n) => self.net(n),
+            HubEvent::Saved(seq) => self.agreed(Event::Saved { seq }),
+            HubEvent::SaveFailed(why) => {
+                self.say(Ev::DiskFailed, why);
+                self.agreed(Event::SaveFailed);
+            }
+            HubEvent::Change { rid, pid, cmd } => self.change(OpFrom::Http(rid), pid, cmd),
+            HubEvent::Reform { rid, pid, drop } => self.reform(rid, pid, drop),
+            HubEvent::Look { rid } => self.wants.push(Want::Http(rid)),
+            HubEvent::Find { rid, pid } => self.wants.push(Want::Find(OpFrom::Http(rid), pid)),
+            HubEvent::Roster(r) => self.on_roster(r),
+            HubEvent::Loads { epoch, rows } => self.on_loads(epoch, rows),
+            HubEvent::Stop => self.leaving = true,
+        }
+        self.start_read();
+        std::mem::take(&mut self.out)
+    }
+
+    pub(super) fn say(&mut self, ev: Ev, about: impl Into<String>) {
+        self.out.push(HubFx::Say(ev, about.into()));
+    }
+
+    pub(super) fn send(&mut self, conn: Conn, p: Payload) {
+        self.out.push(HubFx::Send(conn, p));
+    }
+
+    fn alarm(&mut self) {
+        self.agreed(Event::Alarm);
+        if self.now >= self.slow_at {
+            self.slow_at = self.now + 250;
+            self.slow_alarm();
+        }
+    }
+
+    fn slow_alarm(&mut self) {
+        let conns: Vec<Conn> = self.lines.keys().copied().collect();
+        for c in conns {
+            self.send(c, Payload::Ping { no: 0 });
+        }
+        if self.agree.is_none() {
+            self.founding_alarm();
+        } else {
+            self.members_alarm();
+            self.duty_alarm();
+        }
+        self.seats_alarm();
+    }
+
+    fn net(&mut self, n: NetEvent) {
+        match n {
+            NetEvent::Up { conn, dialled } => {
+                let heard = self.now;
+                self.lines.insert(
+                    conn,
+                    Line {
+                        dialled,
+                        hello: None,
+                        heard,
+                    },
+                );
+                let hello = self.me.clone();
+                self.send(conn, Payload::Hello(hello));
+            }
+            NetEvent::Down { conn } => {
+                self.lines.remove(&conn);
+                self.unseat(conn);
+            }
+            NetEvent::Frame { conn, payload } => {
+                if let Some(l) = self.lines.get_mut(&conn) {
+                    l.heard = self.now;
+                }
+                self.frame(conn, *payload);
+            }
+        }
+    }
+
+    fn frame(&mut self, conn: Conn, p: Payload) {
+        let from = self.lines.get(&conn).and_then(|l| l.hello.clone());
+        let from = match p {
+            Payload::Hello(h) => return self.on_hello(conn, h),
+            // why: who has not said who it is can ask for nothing
+            _ => match from {
+                Some(h) => h,
+                None => return self.out.push(HubFx::Close(conn)),
+            },
+        };
+        match p {
+            Payload::Agree(msg) if from.core => {
+                let from = from.id;
+                self.agreed(Event::Heard { from, msg });
+            }
+            Payload::Founding(f) if from.core => self.on_founding(conn, from, f),
+            Payload::Sessions(s) if from.core => self.on_sessions(from, s),
+            Payload::Roster(r) if from.core => self.take_roster(r),
+            Payload::Loads(l) if from.core => self.take_loads(l),
+            Payload::Renew { no, have, doing } => self.on_renew(conn, no, have, doing),
+            Payload::Op { rid, pid, cmd } => self.change(OpFrom::Edge(conn, rid), pid, cmd),
+            Payload::OpFind { rid, pid } => {
+                self.wants.push(Want::Find(OpFrom::Edge(conn, rid), pid))
+            }
+            _ => {}
+        }
+    }
+
+    fn on_hello(&mut self, conn: Conn, h: Hello) {
+        // why: a connection to oneself, through a seed, is of no use
+        if h.id == self.me.id {
+            let addr = self.lines.get(&conn).and_then(|l| l.dialled);
+            if let Some(a) = addr {
+                self.seeds.retain(|s| *s != a);
+                self.dials.remove(&a);
+                self.out.push(HubFx::Undial(a));
+            }
+            self.out.push(HubFx::Close(conn));
+            return;
+        }
+        if !h.core {
+            self.seat(conn, h.clone());
+        }
+        if let Some(l) = self.lines.get_mut(&conn) {
+            l.hello = Some(h);
+        }
+    }
+
+    /// Cores heard within `ms`, by identity, each with a line to send on.
+    pub(super) fn live_cores(&self, ms: Ms) -> BTreeMap<Nid, (Conn, Hello)> {
+        let since = self.now.saturating_sub(ms);
+        let mut m: BTreeMap<Nid, (Conn, Hello)> = BTreeMap::new();
+        let mut put = |dialled: bool| {
+            for (c, l) in &self.lines {
+                let h = l.hello.as_ref().filter(|h| h.core && l.heard >= since);
+                if let Some(h) = h.filter(|_| l.dialled.is_some() == dialled) {
+                    m.insert(h.id, (*c, h.clone()));
+                }
+            }
+        };
+        // why: the line one dialled oneself is preferred, so it comes last
+        put(false);
+        put(true);
+        m
+    }
+
+    fn line_to(&self, id: Nid) -> Option<Conn> {
+        let named = |l: &Line| l.hello.as_ref().is_some_and(|h| h.id == id);
+        self.lines
+            .iter()
+            .filter(|(_, l)| named(l))
+            .max_by_key(|(_, l)| (l.dialled.is_some(), l.heard))
+            .map(|(c, _)| *c)
+    }
+
+    /// Run one event through the consensus reducer and carry out its effects.
+    pub(super) fn agreed(&mut self, ev: Event) {
+        let now = self.now;
+        let Some(a) = self.agree.as_mut() else { return };
+        let fx = a.step(ev, now);
+        for e in fx {
+            self.effect(e);
+        }
+    }
+
+    fn effect(&mut self, e: Effect) {
+        match e {
+            Effect::Save { seq, save } => self.out.push(HubFx::Save(seq, save)),
+            Effect::Send { to, msg } => {
+                if let Some(c) = self.line_to(to) {
+                    self.send(c, Payload::Agree(msg));
+                }
+            }
+            Effect::Result { pid, outcome } => self.on_result(pid, outcome),
+            Effect::ReadReady { rid, ok } => self.on_read(rid, ok),
+            Effect::Applied { .. } => self.on_applied(),
+            Effect::Members(ms) => {
+                let names: Vec<String> = ms
+                    .iter()
+                    .map(|m| format!("{:x}{}", m.id, if m.voter { "" } else { "?" }))
+                    .collect();
+                self.say(Ev::Members, names.join(" "));
+                self.redial();
+            }
+            Effect::Note(n) => self.on_note(n),
+        }
+    }
+
+    fn on_note(&mut self, n: Note) {
+        let region = |r: Reg| self.site.region_name(r).to_string();
+        let (ev, about) = match n {
+            Note::GlobalLeader { term, .. } => (Ev::GlobalLeader, format!("term {term}")),
+            Note::DomainLeader { dterm, .. } => (Ev::DomainLeader, format!("term {dterm}")),
+            Note::SteppedDown { term, why } => (Ev::SteppedDown, format!("term {term}: {why}")),
+            Note::RegionDown { region: r } => (Ev::RegionDown, region(r)),
+            Note::RegionUp { region: r } => (Ev::RegionUp, region(r)),
+            Note::Moving { to } => (Ev::Moving, format!("to {to:x}")),
+            Note::DiskFailed => (Ev::DiskFailed, "standing aside".to_string()),
+        };
+        self.say(ev, about);
+    }
+
+    fn on_applied(&mut self) {
+        let serial = self.agree.as_ref().map_or(0, |a| a.machine().serial());
+        if serial != self.last_serial {
+            self.last_serial = serial;
+            self.say(Ev::SetupAdopted, format!("serial {serial}"));
+        }
+    }
+
+    pub(super) fn change(&mut self, from: OpFrom, pid: Pid, cmd: Cmd) {
+        if self.agree.is_none() || self.leaving {
+            return self.op_done(from, OpOutcome::NotTaken);
+        }
+        self.ops.entry(pid).or_default().push(from);
+        let body = Body::Data(Arc::new(encode(&cmd)));
+        self.agreed(Event::Propose { pid, body });
+    }
+
+    fn on_result(&mut self, pid: Pid, r: Result<Arc<Vec<u8>>, Lost>) {
+        let outcome = match r {
+            // why: a membership change has no outcome of its own but having happened
+            Ok(b) if b.is_empty() => OpOutcome::Got(crate::record::Outcome::Taken { serial: 0 }),
+            Ok(b) => crate::record::decode(&b).map_or(OpOutcome::Unknown, OpOutcome::Got),
+            Err(Lost::Unknown) => OpOutcome::Unknown,
+            Err(Lost::Full) => OpOutcome::NotTaken,
+        };
+        if self.duty_pid == Some(pid) {
+            self.duty_pid = None;
+        }
+        for f in self.ops.remove(&pid).unwrap_or_default() {
+            self.op_done(f, outcome.clone());
+        }
+    }
+
+    pub(super) fn op_done(&mut self, from: OpFrom, outcome: OpOutcome) {
+        match from {
+            OpFrom::Http(rid) => self.out.push(HubFx::Done(rid, outcome)),
+            OpFrom::Edge(c, rid) => self.send(c, Payload::OpDone { rid, outcome }),
+        }
+    }
+}
--- /dev/null
+++ b/sorreldoor/src/core/status.rs
@@ -0,0 +1,127 @@
+//! What a core shows of the site: leaders, members, sessions, workers.
+
+use super::hub::Hub;
+use crate::js::Val;
+use crate::record::Recovery;
+use simd_json::prelude::*;
+
+fn hex(n: u64) -> Val {
+    Val::from(format!("{n:x}"))
+}
+
+pub fn recovery_text(r: Recovery) -> String {
+    match r {
+        Recovery::Served => "served".into(),
+        Recovery::Lost => "lost".into(),
+        Recovery::Returning(p) => format!("returning {p}%"),
+    }
+}
+
+impl Hub {
+    pub fn status(&self) -> Val {
+        let mut v = Val::object();
+        let _ = v.insert("node", self.me.node.as_str());
+        let _ = v.insert("id", hex(self.me.id));
+        let _ = v.insert("founded", self.agree.is_some());
+        let _ = v.insert("leaving", self.leaving);
+        if let Some(a) = &self.agree {
+            let r = a.machine();
+            let _ = v.insert("term", a.term());
+            let _ = v.insert("commit", a.commit_idx());
+            let _ = v.insert("disk_failed", a.disk_failed());
+            let gl = a.global_leader().map_or(Val::default(), hex);
+            let _ = v.insert("global_leader", gl);
+            let mut d = Val::object();
+            for (r, id) in a.domain_leaders() {
+                let _ = d.insert(self.site.region_name(r).to_string(), hex(id));
+            }
+            let _ = v.insert("domain_leaders", d);
+            let down: Vec<Val> = a
+                .regions_down()
+                .iter()
+                .map(|r| Val::from(self.site.region_name(*r)))
+                .collect();
+            let _ = v.insert("regions_down", down);
+            let ms: Vec<Val> = a
+                .members()
+                .iter()
+                .map(|m| {
+                    let mut o = Val::object();
+                    let _ = o.insert("id", hex(m.id));
+                    let _ = o.insert("zone", self.site.zone_name(m.zone));
+                    let _ = o.insert("addr", m.addr.as_str());
+                    let _ = o.insert("voter", m.voter);
+                    let live = m.id == self.me.id || self.live_cores(1500).contains_key(&m.id);
+                    let _ = o.insert("live", live);
+                    o
+                })
+                .collect();
+            let _ = v.insert("cores", ms);
+            let _ = v.insert("serial", r.serial());
+            let _ = v.insert("rev", r.rev());
+            let _ = v.insert("epoch", r.epoch());
+            let _ = v.insert("duty", hex(r.holder()));
+            let _ = v.insert("emptied", self.emptied());
+            let mut rs = Val::object();
+            for (i, n) in self.site.regions.iter().enumerate() {
+                let _ = rs.insert(n.clone(), recovery_text(r.region(i as u8)));
+            }
+            let _ = v.insert("regions", rs);
+        }
+        let _ = v.insert("edges", self.edges());
+        let _ = v.insert("workers", self.workers());
+        let _ = v.insert(
+            "roster_serial",
+            self.roster.as_ref().map_or(0, |r| r.serial),
+        );
+        let _ = v.insert("roster_problem", self.roster_problem.clone());
+        v
+    }
+
+    pub fn emptied(&self) -> Vec<String> {
+        self.agree.as_ref().map_or(Vec::new(), |a| {
+            a.machine()
+                .view()
+                .emptied
+                .iter()
+                .map(|z| self.site.zone_name(*z).to_string())
+                .collect()
+        })
+    }
+
+    fn edges(&self) -> Vec<Val> {
+        self.all_seats()
+            .iter()
+            .map(|s| {
+                let mut o = Val::object();
+                let _ = o.insert("node", s.hello.node.as_str());
+                let _ = o.insert("zone", self.site.zone_name(s.hello.zone));
+                let _ = o.insert("http", s.hello.http.as_str());
+                let _ = o.insert("serial", s.serial);
+                let _ = o.insert("permit", s.permit);
+                let _ = o.insert("running", s.running);
+                o
+            })
+            .collect()
+    }
+
+    fn workers(&self) -> Vec<Val> {
+        let ws = self.roster.as_ref().map_or(&[][..], |r| &r.workers);
+        ws.iter()
+            .map(|w| {
+                let mut o = Val::object();
+                let l = self.loads.of(&w.name);
+                let _ = o.insert("name", w.name.as_str());
+                let _ = o.insert("addr", w.addr.to_string());
+                let _ = o.insert("group", w.group.as_str());
+                let _ = o.insert("zone", self.site.zone_name(w.zone));
+                let _ = o.insert("leaving", w.leaving);
+                let _ = o.insert("live", l.is_some_and(|l| l.live));
+                let _ = o.insert("running", l.map_or(0, |l| l.running));
+                let _ = o.insert("queued", l.map_or(0, |l| l.queued));
+                let _ = o.insert("finished", l.map_or(0, |l| l.finished));
+                o
+            })
+            .collect()
+    }
+}
--- /dev/null
+++ b/sorreldoor/src/edge/api.rs
@@ -0,0 +1,358 @@
+//! Callers' HTTP at an edge: where to go, errands, and operators' errands.
+
+use super::hall::HallEvent;
+use super::relay::{Brought, Load, Piece};
+use super::run::{Desk, Reply};
+use crate::agree::Pid;
+use crate::errand::Asked;
+use crate::http;
+use crate::js::{self, Val};
+use crate::net::Ring;
+use crate::ops::{self, Op};
+use crate::problem::Problem;
+use crate::settings::Settings;
+use async_std::channel::Receiver;
+use async_std::future::timeout;
+use async_std::io::{self, BufRead, Read};
+use async_std::stream::Stream;
+use http_types::{Body, Method, Request, Response, StatusCode};
+use simd_json::prelude::*;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+#[derive(Clone)]
+pub struct Api {
+    pub set: Arc<Settings>,
+    pub ring: Ring<HallEvent>,
+    pub desk: Desk,
+}
+
+const BODY: Duration = Duration::from_secs(10);
+const LAST: Duration = Duration::from_secs(700);
+
+impl Api {
+    pub async fn handle(self, mut req: Request, peer: http::Peer) -> Response {
+        let path = req.url().path().to_string();
+        let m = req.method();
+        let r = match (m, path.as_str()) {
+            (Method::Get, "/health") => http::json(200, "{\"alive\":true}".into()),
+            (Method::Get, "/ready") => self.ready().await,
+            (Method::Get, "/v1/where") => self.whither(&req).await,
+            (Method::Get, "/v1/status") => self.status().await,
+            _ if path.starts_with("/v1/errand/") => {
+                return self.errand(&mut req, &path, peer).await;
+            }
+            _ => match ops::read(&mut req, &self.set.names).await {
+                None => http::shed(Problem::UnknownPath, &path, 1),
+                Some(Err(p)) => http::shed(p, "", 1),
+                Some(Ok(op)) => self.op(op).await,
+            },
+        };
+        r
+    }
+
+    async fn ask(&self, within: Duration, f: impl FnOnce(u64) -> HallEvent) -> Option<Reply> {
+        let (rid, rx) = self.desk.open();
+        if self.ring.send(f(rid)).await.is_err() {
+            return None;
+        }
+        let got = timeout(within, rx.recv()).await.ok().and_then(|r| r.ok());
+        self.desk.close(rid);
+        got
+    }
+
+    async fn soon(&self, f: impl FnOnce(u64) -> HallEvent) -> Option<Reply> {
+        let most = Duration::from_millis(self.set.ack_ms * 3 + 1000);
+        self.ask(most, f).await
+    }
+
+    async fn ready(&self) -> Response {
+        match self.soon(|rid| HallEvent::Status { rid }).await {
+            Some(Reply::Status { ready: Ok(()), .. }) => http::json(200, "{\"ready\":true}".into()),
+            Some(Reply::Status { ready: Err(p), .. }) => http::shed(p, "", 1),
+            _ => http::shed(Problem::Leaving, "", 1),
+        }
+    }
+
+    async fn status(&self) -> Response {
+        match self.soon(|rid| HallEvent::Status { rid }).await {
+            Some(Reply::Status { text, .. }) => http::json(200, text),
+            _ => http::shed(Problem::Leaving, "", 1),
+        }
+    }
+
+    fn home(&self, name: Option<String>) -> Result<Option<u8>, Problem> {
+        name.map(|n| self.set.names.region(&n).ok_or(Problem::BadErrand))
+            .transpose()
+    }
+
+    async fn whither(&self, req: &Request) -> Response {
+        let asked = self.home(http::query(req, "region")).and_then(|home| {
+            let route = http::query(req, "route").ok_or(Problem::BadErrand)?;
+            Ok(Asked {
+                route,
+                key: http::query(req, "key").unwrap_or_default(),
+                home,
+                adapter: http::query(req, "adapter"),
+                ..Asked::default()
+            })
+        });
+        let asked = match asked {
+            Ok(a) => a,
+            Err(p) => return http::shed(p, "", 1),
+        };
+        match self.soon(|rid| HallEvent::Where { rid, asked }).await {
+            Some(Reply::Where(Ok(all))) => {
+                let mut v = Val::object();
+                let _ = v.insert("addresses", all);
+                let _ = v.insert("ttl_ms", 2000);
+                http::ok(v)
+            }
+            Some(Reply::Where(Err(p))) => http::shed(p, "", 1),
+            _ => http::shed(Problem::Leaving, "", 1),
+        }
+    }
+
+    async fn op(&self, op: Op) -> Response {
+        match op {
+            Op::Check { faults } => ops::checked(&faults),
+            Op::Change { pid, cmd } => {
+                let r = self.soon(|rid| HallEvent::Change { rid, pid, cmd }).await;
+                changed(pid, r)
+            }
+            Op::Proposal(pid) => {
+                let r = self.soon(|rid| HallEvent::Find { rid, pid }).await;
+                changed(pid, r)
+            }
+            Op::Setup => match self.soon(|rid| HallEvent::Look { rid }).await {
+                Some(Reply::Looked(true, view)) => {
+                    let doc = view.doc.as_ref().map(|d| d.as_str());
+                    let names = &self.set.names;
+                    let zones: Vec<String> = view
+                        .emptied
+                        .iter()
+                        .map(|z| names.zone_name(*z).to_string())
+                        .collect();
+                    ops::setup_view(view.serial, doc, &zones)
+                }
+                _ => http::shed(Problem::NoCore, "", 1),
+            },
+            Op::Status => self.status().await,
+            Op::DropCore { .. } => http::shed(Problem::UnknownPath, "ask a core", 1),
+        }
+    }
+
+    fn asked(&self, req: &Request, route: &str) -> Result<Asked, Problem> {
+        let head = |k: &str| req.header(k).map(|h| h.last().as_str().to_string());
+        let given = head("x-errand-id");
+        if given.as_deref().is_some_and(|i| !js::good_name(i)) {
+            return Err(Problem::BadErrand);
+        }
+        let id = given
+            .clone()
+            .unwrap_or_else(|| ops::pid_text(ops::fresh_pid()));
+        let key = head("x-prefix-key").unwrap_or_default();
+        Ok(Asked {
+            route: route.to_string(),
+            given: given.is_some(),
+            id,
+            key,
+            home: self.home(head("x-home"))?,
+            adapter: head("x-adapter"),
+        })
+    }
+
+    async fn errand(&self, req: &mut Request, path: &str, peer: http::Peer) -> Response {
+        let rest = &path["/v1/errand/".len()..];
+        let (route, tail) = rest.split_once('/').unwrap_or((rest, ""));
+        let asked = match self.asked(req, route) {
+            Ok(a) => a,
+            Err(p) => return http::shed(p, "", 1),
+        };
+        // why: what is not wanted here is turned away before its body is read
+        let a = asked.clone();
+        let shown = match self.soon(|rid| HallEvent::Knock { rid, asked: a }).await {
+            Some(Reply::Come(shown)) => shown,
+            Some(r) => return final_of(r, path, &asked.id),
+            None => return http::shed(Problem::Leaving, "", 1),
+        };
+        let model = shown.model;
+        let method = req.method();
+        let fits = if model {
+            method == Method::Post
+        } else {
+            method == Method::Get
+        };
+        if !fits {
+            return http::shed(Problem::BadMethod, "", 1);
+        }
+        let body = match http::body(req, self.set.most_body, BODY).await {
+            Ok(b) => b,
+            Err(p) => return http::shed(p, "", 1),
+        };
+        if model && js::parse(&body, self.set.most_body).is_err() {
+            return http::shed(Problem::BadJson, "", 1);
+        }
+        let load = Load {
+            id: asked.id.clone(),
+            route: asked.route.clone(),
+            key: asked.key.clone(),
+            adapter: asked.adapter.clone(),
+            method,
+            path: if model {
+                "/errand".to_string()
+            } else {
+                format!("/{tail}")
+            },
+            body,
+            model,
+            streamed: shown.streamed,
+            within: Duration::from_millis(shown.cutoff_ms),
+        };
+        let id = asked.id.clone();
+        let (rid, rx) = self.desk.open();
+        self.desk.bring(rid, load);
+        let ring = self.ring.clone();
+        let watch = peer.watch(move || async move {
+            let _ = ring.send(HallEvent::Gone { rid }).await;
+        });
+        let sent = self.ring.send(HallEvent::Errand { rid, asked }).await;
+        let got = match sent {
+            Ok(()) => timeout(LAST, rx.recv()).await.ok().and_then(|r| r.ok()),
+            Err(_) => None,
+        };
+        self.desk.close(rid);
+        match got {
+            Some(Reply::Brought(Brought::Stream(rx))) => streamed(rx, &id, watch),
+            Some(r) => {
+                watch.stop();
+                final_of(r, path, &id)
+            }
+            None => http::shed(Problem::Leaving, "", 1),
+        }
+    }
+}
+
+fn changed(pid: Pid, r: Option<Reply>) -> Response {
+    match r {
+        Some(Reply::Done(o)) => ops::result(pid, &o),
+        _ => ops::result(pid, &crate::wire::OpOutcome::Unknown),
+    }
+}
+
+/// A final result that is not a stream.
+fn final_of(r: Reply, path: &str, id: &str) -> Response {
+    let mut out = match r {
+        Reply::Shed(p, again) => http::shed(p, "", again),
+        Reply::Elsewhere(addr) => {
+            let mut r = http::shed(Problem::HomeElsewhere, &addr, 1);
+            r.insert_header("location", format!("http://{addr}{path}"));
+            r
+        }
+        Reply::Brought(Brought::Whole { status, kind, body }) => {
+            let code = StatusCode::try_from(status).unwrap_or(StatusCode::BadGateway);
+            let mut r = Response::new(code);
+            r.set_body(Body::from_bytes(body));
+            if !kind.is_empty() {
+                r.insert_header("content-type", kind);
+            }
+            r
+        }
+        _ => http::shed(Problem::Leaving, "", 1),
+    };
+    out.insert_header("x-errand-id", id);
+    out
+}
+
+fn streamed(rx: Receiver<Piece>, id: &str, watch: http::Watch) -> Response {
+    let mut r = Response::new(StatusCode::Ok);
+    r.set_body(Body::from_reader(
+        Pipe {
+            rx,
+            buf: Vec::new(),
+            at: 0,
+            ended: false,
+            broken: false,
+            _watch: watch,
+        },
+        None,
+    ));
+    r.insert_header("content-type", "application/x-ndjson");
+    r.insert_header("x-errand-id", id);
+    r
+}
+
+/// A stream's events as a body. A break is shown as an event of its own, and
+/// then by a body that does not end as a whole one would.
+struct Pipe {
+    rx: Receiver<Piece>,
+    buf: Vec<u8>,
+    at: usize,
+    ended: bool,
+    broken: bool,
+    _watch: http::Watch,
+}
+
+impl BufRead for Pipe {
+    fn poll_fill_buf(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<&[u8]>> {
+        let me = self.get_mut();
+        while me.at >= me.buf.len() {
+            if me.ended {
+                return Poll::Ready(Ok(&[]));
+            }
+            if me.broken {
+                let e = io::Error::new(io::ErrorKind::BrokenPipe, "the stream broke off");
+                return Poll::Ready(Err(e));
+            }
+            let piece = match Pin::new(&mut me.rx).poll_next(cx) {
+                Poll::Pending => return Poll::Pending,
+                // why: a relay that vanished has not said that this is the end
+                Poll::Ready(None) => Piece::Broke(Problem::StreamBroken),
+                Poll::Ready(Some(p)) => p,
+            };
+            me.at = 0;
+            match piece {
+                Piece::Event(b) => me.buf = b,
+                Piece::End => {
+                    me.ended = true;
+                    me.buf.clear();
+                }
+                Piece::Broke(p) => {
+                    let mut v = Val::object();
+                    let _ = v.insert("problem", p.code());
+                    let _ = v.insert("text", Problem::StreamBroken.text());
+                    me.buf = (v.encode() + "\n").into_bytes();
+                    me.broken = true;
+                }
+            }
+        }
+        Poll::Ready(Ok(&me.buf[me.at..]))
+    }
+
+    fn consume(self: Pin<&mut Self>, n: usize) {
+        let me = self.get_mut();
+        me.at = (me.at + n).min(me.buf.len());
+    }
+}
+
+impl Read for Pipe {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        into: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        let n = match self.as_mut().poll_fill_buf(cx) {
+            Poll::Ready(Ok(b)) => {
+                let n = b.len().min(into.len());
+                into[..n].copy_from_slice(&b[..n]);
+                n
+            }
+            Poll::Ready(Err(e)) => return Poll::Ready(Err(e)),
+            Poll::Pending => return Poll::Pending,
+        };
+        self.consume(n);
+        Poll::Ready(Ok(n))
+    }
+}
--- /dev/null
+++ b/sorreldoor/src/edge/hall.rs
@@ -0,0 +1,324 @@
+//! The edge's one reducer over all events, with effects as data.
+
+use crate::agree::{Ms, Pid};
+use crate::errand::{Asked, ErrandFx, Plan, Table, Told};
+use crate::events::Ev;
+use crate::js::Val;
+use crate::net::{Conn, NetEvent};
+use crate::problem::Problem;
+use crate::pull::{Pull, PullFx};
+use crate::record::Cmd;
+use crate::setup::Kind;
+use crate::wire::*;
+use simd_json::prelude::*;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+#[derive(Debug)]
+pub enum HallEvent {
+    Alarm {
+        wall: i64,
+    },
+    Net(NetEvent),
+    /// A head has come; may its body be read?
+    Knock {
+        rid: u64,
+        asked: Asked,
+    },
+    Errand {
+        rid: u64,
+        asked: Asked,
+    },
+    Gone {
+        rid: u64,
+    },
+    Told {
+        rid: u64,
+        token: u64,
+        told: Told,
+    },
+    Where {
+        rid: u64,
+        asked: Asked,
+    },
+    Change {
+        rid: u64,
+        pid: Pid,
+        cmd: Cmd,
+    },
+    Find {
+        rid: u64,
+        pid: Pid,
+    },
+    /// Read the setup, proved current from now on.
+    Look {
+        rid: u64,
+    },
+    Status {
+        rid: u64,
+    },
+    Stop,
+}
+
+#[derive(Debug)]
+pub enum HallFx {
+    Send(Conn, Payload),
+    Dial(SocketAddr),
+    Undial(SocketAddr),
+    Errand(ErrandFx),
+    /// The body may come: for a model, streamed, within so long.
+    Come(u64, Shape),
+    Where(u64, Result<Vec<String>, Problem>),
+    Done(u64, OpOutcome),
+    Looked(u64, bool),
+    Status(u64, String),
+    Say(Ev, String),
+}
+
+/// How a route's errands look.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Shape {
+    pub model: bool,
+    pub streamed: bool,
+    pub cutoff_ms: u64,
+}
+
+pub struct Hall {
+    pub me: Hello,
+    pub plan: Plan,
+    pub table: Table,
+    pub pull: Pull,
+    pub(super) looks: Vec<(u64, u64)>,
+    pub(super) changes: BTreeMap<u64, Conn>,
+    pub leaving: bool,
+    pub now: Ms,
+    pub(super) out: Vec<HallFx>,
+}
+
+impl Hall {
+    pub fn new(me: Hello, plan: Plan, pull: Pull) -> Hall {
+        Hall {
+            me,
+            plan,
+            table: Table::default(),
+            pull,
+            looks: Vec::new(),
+            changes: BTreeMap::new(),
+            leaving: false,
+            now: 0,
+            out: Vec::new(),
+        }
+    }
+
+    pub fn step(&mut self, ev: HallEvent, now: Ms) -> Vec<HallFx> {
+        self.now = self.now.max(now);
+        let now = self.now;
+        match ev {
+            HallEvent::Alarm { wall } => self.alarm(wall),
+            HallEvent::Net(n) => self.net(n),
+            HallEvent::Knock { rid, asked } => self.knock(rid, asked),
+            HallEvent::Errand { rid, asked } => match self.closed() {
+                Some(p) => self.shed(rid, p),
+                None => self.table.take(&mut self.plan, rid, asked, now),
+            },
+            HallEvent::Gone { rid } => self.table.gone(&mut self.plan, rid),
+            HallEvent::Told { rid, token, told } => {
+                let permit = self.pull.permit(now);
+                self.table
+                    .told(&mut self.plan, rid, token, told, permit, now);
+            }
+            HallEvent::Where { rid, asked } => self.whither(rid, asked),
+            HallEvent::Change { rid, pid, cmd } => self.change(rid, Payload::Op { rid, pid, cmd }),
+            HallEvent::Find { rid, pid } => self.change(rid, Payload::OpFind { rid, pid }),
+            HallEvent::Look { rid } => self.look(rid),
+            HallEvent::Status { rid } => {
+                let s = self.status().encode();
+                self.out.push(HallFx::Status(rid, s));
+            }
+            HallEvent::Stop => {
+                self.leaving = true;
+                self.say(Ev::Leaving, "edge");
+            }
+        }
+        if self.pull.permit(self.now) {
+            self.table.pass_match(&mut self.plan, now);
+        }
+        let fx = std::mem::take(&mut self.table.out);
+        for f in fx {
+            if let ErrandFx::Unknown { id, worker } = &f {
+                let about = format!("{id} at {worker}");
+                self.say(Ev::ErrandUnknown, about);
+            }
+            self.out.push(HallFx::Errand(f));
+        }
+        std::mem::take(&mut self.out)
+    }
+
+    pub(super) fn say(&mut self, ev: Ev, about: impl Into<String>) {
+        self.out.push(HallFx::Say(ev, about.into()));
+    }
+
+    fn shed(&mut self, rid: u64, problem: Problem) {
+        self.table.counts.shed += 1;
+        self.out.push(HallFx::Errand(ErrandFx::Shed {
+            rid,
+            problem,
+            again_s: 1,
+        }));
+    }
+
+    /// Why nothing new is taken in just now.
+    fn closed(&self) -> Option<Problem> {
+        if self.leaving {
+            return Some(Problem::Leaving);
+        }
+        Some(Problem::NoPermit).filter(|_| !self.pull.permit(self.now))
+    }
+
+    pub fn ready(&self) -> Result<(), Problem> {
+        self.closed().map_or(Ok(()), Err)?;
+        self.plan
+            .setup
+            .as_ref()
+            .map(|_| ())
+            .ok_or(Problem::NoSetup)?;
+        Some(())
+            .filter(|_| !self.plan.emptied(self.plan.zone))
+            .ok_or(Problem::Leaving)
+    }
+
+    pub fn idle(&self) -> bool {
+        self.table.rows.is_empty()
+    }
+
+    fn alarm(&mut self, wall: i64) {
+        for f in self.pull.alarm(self.now, wall) {
+            self.pulled(f);
+        }
+        self.table.pass_cutoffs(&mut self.plan, self.now);
+        if !self.pull.permit(self.now) {
+            self.table.pass_unpermitted();
+        }
+    }
+
+    fn pulled(&mut self, f: PullFx) {
+        match f {
+            PullFx::Dial(a) => self.out.push(HallFx::Dial(a)),
+            PullFx::Undial(a) => self.out.push(HallFx::Undial(a)),
+            PullFx::Renew { conn, no } => {
+                let have = self.pull.have.clone();
+                let doing = Doing {
+                    serial: self.plan.shown.view.serial,
+                    permit: self.ready().is_ok(),
+                    running: self.table.rows.len() as u32,
+                    first: self.table.counts.first,
+                    again: self.table.counts.again,
+                    shed: self.table.counts.shed,
+                };
+                self.out
+                    .push(HallFx::Send(conn, Payload::Renew { no, have, doing }));
+            }
+            PullFx::Lost => self.say(Ev::SessionLost, "silent"),
+            PullFx::Woken(s) => self.say(Ev::Woken, s),
+            PullFx::PermitLost => self.say(Ev::PermitLost, ""),
+            PullFx::PermitBack => self.say(Ev::PermitBack, ""),
+        }
+    }
+
+    fn knock(&mut self, rid: u64, asked: Asked) {
+        if let Some(p) = self.closed() {
+            return self.shed(rid, p);
+        }
+        match self.table.knock(&self.plan, rid, &asked) {
+            Ok(true) => {
+                let shape = self.shape(&asked.route);
+                self.out.push(HallFx::Come(rid, shape));
+            }
+            Ok(false) => {}
+            Err(p) => self.shed(rid, p),
+        }
+    }
+
+    fn shape(&self, route: &str) -> Shape {
+        let s = self.plan.setup.as_ref();
+        let r = s.and_then(|s| s.route(route).map(|i| &s.routes[i as usize]));
+        r.map_or(Shape::default(), |r| Shape {
+            model: r.kind != Kind::Fetch,
+            streamed: r.streamed,
+            cutoff_ms: r.cutoff_ms,
+        })
+    }
+
+    /// Where a caller should go with such an errand.
+    fn whither(&mut self, rid: u64, a: Asked) {
+        let r = self.closed().map_or(Ok(()), Err).and_then(|()| {
+            let s = self.plan.setup.as_ref().ok_or(Problem::NoSetup)?;
+            let route = s.route(&a.route).ok_or(Problem::UnknownRoute)?;
+            let home = s.routes[route as usize].home;
+            if home && a.home.is_none() {
+                return Err(Problem::BadErrand);
+            }
+            let at = a.home.or(Some(self.plan.region));
+            let all = self.plan.edges_for(at, home, &a.key);
+            Some(all).filter(|l| !l.is_empty()).ok_or(Problem::NoWorker)
+        });
+        self.out.push(HallFx::Where(rid, r));
+    }
+
+    fn change(&mut self, rid: u64, p: Payload) {
+        let Some(c) = self.pull.conn else {
+            // why: nothing has left this node, so it is surely not taken
+            self.out.push(HallFx::Done(rid, OpOutcome::NotTaken));
+            return;
+        };
+        self.changes.insert(rid, c);
+        self.out.push(HallFx::Send(c, p));
+    }
+
+    fn look(&mut self, rid: u64) {
+        let Some(c) = self.pull.conn else {
+            self.out.push(HallFx::Looked(rid, false));
+            return;
+        };
+        let f = self.pull.renew(c, self.now);
+        self.looks.push((rid, self.pull.last_no()));
+        self.pulled(f);
+    }
+
+    pub(super) fn looked(&mut self, no: u64, ok: bool) {
+        let (ready, wait): (Vec<_>, Vec<_>) = self.looks.drain(..).partition(|(_, n)| *n <= no);
+        self.looks = wait;
+        for (rid, _) in ready {
+            self.out.push(HallFx::Looked(rid, ok));
+        }
+    }
+
+    pub fn status(&self) -> Val {
+        let c = &self.table.counts;
+        let mut v = Val::object();
+        let _ = v.insert("node", self.me.node.as_str());
+        let _ = v.insert("role", "edge");
+        let _ = v.insert("serial", self.plan.shown.view.serial);
+        let _ = v.insert("rev", self.plan.shown.view.rev);
+        let _ = v.insert("permit_left_ms", self.pull.left(self.now));
+        let _ = v.insert("session", self.pull.conn.is_some());
+        let _ = v.insert("core", self.pull.dialled.map(|a| a.to_string()));
+        let _ = v.insert("leaving", self.leaving);
+        let _ = v.insert("open_errands", self.table.rows.len());
+        let mut n = Val::object();
+        for (k, x) in [
+            ("first", c.first),
+            ("again", c.again),
+            ("served", c.served),
+            ("shed", c.shed),
+            ("unknown", c.unknown),
+            ("broken", c.broken),
+            ("gone", c.gone),
+            ("spilt", c.spilt),
+        ] {
+            let _ = n.insert(k, x);
+        }
+        let _ = v.insert("counts", n);
+        v
+    }
+}
--- /dev/null
+++ b/sorreldoor/src/edge/run.rs
@@ -0,0 +1,253 @@
+//! The edge's daemon: threads and rings around the hall's reducer.
+
+use super::api::Api;
+use super::hall::{Hall, HallEvent, HallFx, Shape};
+use super::relay::{Brought, Load, Task, Word};
+use crate::agree::Ms;
+use crate::errand::{ErrandFx, Plan};
+use crate::events::{say, Ev};
+use crate::http;
+use crate::net::{Net, NetEvent, Ring};
+use crate::problem::Problem;
+use crate::pull::Pull;
+use crate::record::View;
+use crate::settings::Settings;
+use crate::wire::{Hello, OpOutcome};
+use async_std::channel::{bounded, Receiver, Sender};
+use async_std::net::TcpListener;
+use async_std::task;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+const RING: usize = 8192;
+const TICK: Duration = Duration::from_millis(20);
+
+/// What a waiting HTTP task is told.
+pub enum Reply {
+    /// The body may come; what the route asks of it.
+    Come(Shape),
+    Shed(Problem, u64),
+    Elsewhere(String),
+    Brought(Brought),
+    Where(Result<Vec<String>, Problem>),
+    Done(OpOutcome),
+    Looked(bool, Box<View>),
+    Status {
+        text: String,
+        ready: Result<(), Problem>,
+    },
+}
+
+#[derive(Default)]
+struct Inner {
+    waiting: HashMap<u64, Sender<Reply>>,
+    loads: HashMap<u64, Arc<Load>>,
+}
+
+/// HTTP tasks that wait for the hall, and what they brought.
+#[derive(Clone, Default)]
+pub struct Desk {
+    inner: Arc<Mutex<Inner>>,
+    next: Arc<AtomicU64>,
+}
+
+impl Desk {
+    pub fn open(&self) -> (u64, Receiver<Reply>) {
+        let rid = self.next.fetch_add(1, Ordering::Relaxed) + 1;
+        let (tx, rx) = bounded(1);
+        self.lock().waiting.insert(rid, tx);
+        (rid, rx)
+    }
+    pub fn close(&self, rid: u64) {
+        let mut d = self.lock();
+        d.waiting.remove(&rid);
+        d.loads.remove(&rid);
+    }
+    pub fn bring(&self, rid: u64, l: Load) {
+        self.lock().loads.insert(rid, Arc::new(l));
+    }
+    fn load(&self, rid: u64) -> Option<Arc<Load>> {
+        self.lock().loads.get(&rid).cloned()
+    }
+    fn give(&self, rid: u64, r: Reply) {
+        let tx = self.lock().waiting.remove(&rid);
+        // why: whoever has stopped waiting needs no result
+        let _ = tx.map(|t| t.try_send(r).is_ok());
+    }
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(|p| p.into_inner())
+    }
+}
+
+fn wall() -> i64 {
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |d| d.as_millis() as i64)
+}
+
+pub fn run(set: Settings) -> Result<(), String> {
+    let set = Arc::new(set);
+    let (ring, rx) = bounded(RING);
+    let web = task::block_on(TcpListener::bind(set.http))
+        .map_err(|e| format!("http: cannot bind {}: {e}", set.http))?;
+    let me = Hello {
+        id: crate::ops::fresh() >> 1,
+        node: set.node.clone(),
+        core: false,
+        region: set.region,
+        zone: set.zone,
+        addr: String::new(),
+        http: set.http.to_string(),
+        founded: false,
+        boot: crate::ops::fresh(),
+    };
+    let plan = Plan::new(set.names.clone(), set.node.clone(), set.zone, set.region);
+    let pull = Pull::new(&set.seeds, set.permit_ms, 0, wall());
+    let desk = Desk::default();
+    let api = Api {
+        set: set.clone(),
+        ring: ring.clone(),
+        desk: desk.clone(),
+    };
+    let net = Net::new(
+        set.site_mark(),
+        ring.clone(),
+        HallEvent::Net as fn(NetEvent) -> HallEvent,
+        set.most_connections,
+    );
+    task::spawn(http::serve(web, set.most_connections, move |r, p| {
+        api.clone().handle(r, p)
+    }));
+    say(Ev::Started, format!("edge {}", set.node));
+    say(Ev::Listening, format!("http {}", set.http));
+    crate::run::ticker(ring.clone(), TICK, || HallEvent::Alarm { wall: wall() });
+    crate::run::on_term(ring.clone(), || HallEvent::Stop)?;
+    Daemon {
+        hall: Hall::new(me, plan, pull),
+        net,
+        set,
+        desk,
+        ring,
+        tasks: HashMap::new(),
+        began: Instant::now(),
+    }
+    .turn(rx);
+    say(Ev::Stopped, "edge");
+    Ok(())
+}
+
+struct Running {
+    words: Sender<Word>,
+    brought: Receiver<Brought>,
+}
+
+struct Daemon {
+    hall: Hall,
+    net: Net<HallEvent>,
+    set: Arc<Settings>,
+    desk: Desk,
+    ring: Ring<HallEvent>,
+    tasks: HashMap<u64, Running>,
+    began: Instant,
+}
+
+impl Daemon {
+    fn turn(&mut self, rx: Receiver<HallEvent>) {
+        let mut stop_at: Option<Instant> = None;
+        while let Ok(ev) = rx.recv_blocking() {
+            let stops = matches!(ev, HallEvent::Stop);
+            if stops && stop_at.is_none() {
+                stop_at = Some(Instant::now() + Duration::from_millis(self.set.drain_ms));
+            }
+            let now = self.began.elapsed().as_millis() as Ms;
+            for fx in self.hall.step(ev, now) {
+                self.carry_out(fx);
+            }
+            self.tasks.retain(|_, t| !t.words.is_closed());
+            // why: what runs is finished, up to the cutoff the settings give
+            if stop_at.is_some_and(|t| self.hall.idle() || Instant::now() >= t) {
+                // the last results are on their way to their callers
+                std::thread::sleep(Duration::from_millis(100));
+                return;
+            }
+        }
+    }
+
+    fn carry_out(&mut self, fx: HallFx) {
+        match fx {
+            HallFx::Send(c, p) => {
+                self.net.send(c, &p);
+            }
+            HallFx::Dial(a) => self.net.dial(a, self.set.reached(a)),
+            HallFx::Undial(a) => self.net.undial(a),
+            HallFx::Come(rid, s) => self.desk.give(rid, Reply::Come(s)),
+            HallFx::Where(rid, r) => self.desk.give(rid, Reply::Where(r)),
+            HallFx::Done(rid, o) => self.desk.give(rid, Reply::Done(o)),
+            HallFx::Looked(rid, ok) => {
+                let v = Box::new(self.hall.plan.shown.view.clone());
+                self.desk.give(rid, Reply::Looked(ok, v));
+            }
+            HallFx::Status(rid, text) => {
+                let ready = self.hall.ready();
+                self.desk.give(rid, Reply::Status { text, ready });
+            }
+            HallFx::Say(ev, about) => say(ev, about),
+            HallFx::Errand(f) => self.errand(f),
+        }
+    }
+
+    fn errand(&mut self, f: ErrandFx) {
+        match f {
+            ErrandFx::Open {
+                rid, token, addr, ..
+            } => self.open(rid, token, addr),
+            ErrandFx::Go { token, .. } => self.word(token, Word::Go),
+            ErrandFx::Drop { token, .. } => {
+                self.word(token, Word::Drop);
+                self.tasks.remove(&token);
+            }
+            ErrandFx::Shed {
+                rid,
+                problem,
+                again_s,
+            } => self.desk.give(rid, Reply::Shed(problem, again_s)),
+            ErrandFx::Elsewhere { rid, addr } => self.desk.give(rid, Reply::Elsewhere(addr)),
+            ErrandFx::Give { rid, token } => {
+                let got = self
+                    .tasks
+                    .get(&token)
+                    .and_then(|t| t.brought.try_recv().ok());
+                if let Some(b) = got {
+                    self.desk.give(rid, Reply::Brought(b));
+                }
+            }
+            ErrandFx::Unknown { .. } => {}
+        }
+    }
+
+    fn open(&mut self, rid: u64, token: u64, addr: SocketAddr) {
+        let Some(load) = self.desk.load(rid) else {
+            return;
+        };
+        let (words, rx) = bounded(4);
+        let (hand, brought) = bounded(1);
+        self.tasks.insert(token, Running { words, brought });
+        let t = Task {
+            rid,
+            token,
+            load,
+            ring: self.ring.clone(),
+            words: rx,
+            hand,
+        };
+        task::spawn(t.run(self.set.reached(addr)));
+    }
+
+    fn word(&self, token: u64, w: Word) {
+        // why: a task that has ended needs no word
+        let _ = self.tasks.get(&token).map(|t| t.words.try_send(w).is_ok());
+    }
+}
--- /dev/null
+++ b/sorreldoor/src/edge/session.rs
@@ -0,0 +1,93 @@
+//! The edge's session with a core: frames in, news taken, no step back.
+
+use super::hall::{Hall, HallFx};
+use crate::events::Ev;
+use crate::net::{Conn, NetEvent};
+use crate::wire::*;
+
+impl Hall {
+    pub(super) fn net(&mut self, n: NetEvent) {
+        match n {
+            NetEvent::Up { conn, dialled } => {
+                let h = self.me.clone();
+                self.out.push(HallFx::Send(conn, Payload::Hello(h)));
+                if let Some(a) = dialled {
+                    self.pull.up(conn, a, self.now);
+                    self.say(Ev::SessionUp, a.to_string());
+                }
+            }
+            NetEvent::Down { conn } => {
+                self.pull.down(conn);
+                let lost: Vec<u64> = self
+                    .changes
+                    .iter()
+                    .filter(|(_, c)| **c == conn)
+                    .map(|(r, _)| *r)
+                    .collect();
+                for rid in lost {
+                    self.changes.remove(&rid);
+                    // why: it left on that session, so it may have been taken
+                    self.out.push(HallFx::Done(rid, OpOutcome::Unknown));
+                }
+            }
+            NetEvent::Frame { conn, payload } => self.frame(conn, *payload),
+        }
+    }
+
+    fn frame(&mut self, conn: Conn, p: Payload) {
+        match p {
+            Payload::Grant { no, ok, news } => self.on_grant(no, ok, news),
+            Payload::OpDone { rid, outcome } => self.on_done(rid, outcome),
+            Payload::Ping { .. } => self.out.push(HallFx::Send(conn, Payload::Ping { no: 0 })),
+            _ => {}
+        }
+    }
+
+    fn on_grant(&mut self, no: u64, ok: bool, news: News) {
+        // why: news from a core that could not prove itself may be old
+        if self.pull.granted(no, ok, self.now) {
+            self.take_news(news);
+            self.looked(no, true);
+        }
+    }
+
+    fn on_done(&mut self, rid: u64, outcome: OpOutcome) {
+        if self.changes.remove(&rid).is_some() {
+            self.out.push(HallFx::Done(rid, outcome));
+        }
+    }
+
+    fn take_news(&mut self, n: News) {
+        let was = self.plan.shown.view.serial;
+        if let Some(v) = n.record {
+            self.pull.have.record = v.rev;
+            if !self.plan.take_view(v) {
+                self.say(Ev::SetupUnread, "");
+            }
+            self.table.pass_setup(&self.plan);
+            let now = self.plan.shown.view.serial;
+            if now != was {
+                self.say(Ev::SetupAdopted, format!("serial {now}"));
+            }
+        }
+        if let Some(r) = n.roster {
+            self.pull.have.roster = r.serial;
+            self.plan.take_roster(r);
+        }
+        if let Some(l) = n.loads {
+            self.pull.have.loads = l.mark();
+            self.plan.take_loads(l);
+        }
+        if let Some(s) = n.seats {
+            self.pull.have.seats = s.0;
+            self.plan.take_seats(s);
+        }
+        let region = self.me.region;
+        let cores = n
+            .cores
+            .iter()
+            .filter_map(|(a, r)| a.parse().ok().map(|a| (a, *r == region)))
+            .collect();
+        self.pull.take_cores(cores);
+    }
+}
--- /dev/null
+++ b/sorreldoor/src/errand/mod.rs
@@ -0,0 +1,146 @@
+//! Errands as records in a table, with passes that run over it.
+
+mod budget;
+mod ends;
+mod passes;
+mod plan;
+
+pub use budget::{Retries, Spill};
+pub use plan::{Plan, Shown};
+
+use crate::agree::Ms;
+use crate::problem::Problem;
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
+
+/// What a caller asks, as read at the door.
+#[derive(Clone, Debug, Default)]
+pub struct Asked {
+    pub route: String,
+    pub id: String,
+    /// The caller chose the id itself, so it may ask again under it.
+    pub given: bool,
+    pub key: String,
+    pub home: Option<u8>,
+    pub adapter: Option<String>,
+}
+
+/// How far an errand is. Only `Sent` and later may have run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stage {
+    Waiting,
+    /// A connection is being made; nothing has left.
+    Opening(usize),
+    Sent(usize),
+    /// A stream's head came back whole and events are being relayed.
+    Relaying(usize),
+}
+
+#[derive(Clone, Debug)]
+pub struct Errand {
+    pub asked: Asked,
+    pub route: u16,
+    pub stage: Stage,
+    pub since: Ms,
+    pub cutoff: Ms,
+    pub sent_at: Ms,
+    pub tries: u32,
+    /// Counted against the spill of its region.
+    pub spilt: bool,
+    /// Workers that broke off on it already.
+    pub tried: Vec<usize>,
+    pub token: u64,
+}
+
+/// What a worker's task tells of a try.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Told {
+    /// Connected; may it send?
+    Ready,
+    /// No connection: nothing has left.
+    Unsent,
+    /// The worker said that it did not run it.
+    NotRun,
+    /// A whole result has come.
+    Whole,
+    /// A stream has begun.
+    Begun,
+    /// A stream was relayed to its last event.
+    Ended,
+    /// It broke off somehow after bytes may have left.
+    Broke(Problem),
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum ErrandFx {
+    /// Connect to this worker for the errand.
+    Open {
+        rid: u64,
+        token: u64,
+        worker: usize,
+        addr: SocketAddr,
+    },
+    /// Send it now.
+    Go {
+        rid: u64,
+        token: u64,
+    },
+    /// Drop the connection, with all that is on it.
+    Drop {
+        rid: u64,
+        token: u64,
+    },
+    /// Final: tell the caller this.
+    Shed {
+        rid: u64,
+        problem: Problem,
+        again_s: u64,
+    },
+    /// Final: hand on the worker's result that the task holds.
+    Give {
+        rid: u64,
+        token: u64,
+    },
+    /// A caller must go to another address.
+    Elsewhere {
+        rid: u64,
+        addr: String,
+    },
+    Unknown {
+        id: String,
+        worker: String,
+    },
+}
+
+/// Counters since the start; for metrics and for the retry budget's proof.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    pub first: u64,
+    pub again: u64,
+    pub served: u64,
+    pub shed: u64,
+    pub unknown: u64,
+    pub broken: u64,
+    pub gone: u64,
+    pub spilt: u64,
+}
+
+const REMEMBERED: usize = 65_536;
+
+#[derive(Default)]
+pub struct Table {
+    pub rows: BTreeMap<u64, Errand>,
+    pub counts: Counts,
+    pub retries: Retries,
+    pub spill: Spill,
+    /// Ids of non-repeatable errands that were sent, so as never to send one
+    /// again from here.
+    sent_ids: std::collections::HashSet<String>,
+    sent_order: VecDeque<String>,
+    /// Moving mean of how long a route's errands take, in ms.
+    takes: BTreeMap<String, u64>,
+    /// Workers that lately could not be reached, until when.
+    shunned: BTreeMap<usize, Ms>,
+    next_token: u64,
+    pub out: Vec<ErrandFx>,
+}
--- /dev/null
+++ b/sorreldoor/src/errand/passes.rs
@@ -0,0 +1,327 @@
+//! The passes over the table: match, send, give up, settle.
+
+use super::{Asked, Errand, ErrandFx, Plan, Stage, Table, Told};
+use crate::agree::Ms;
+use crate::place::{self, Ask};
+use crate::problem::Problem;
+use crate::setup::Route;
+
+const SHUN_MS: Ms = 1000;
+
+impl Table {
+    /// Take an errand in, or shed it at once.
+    pub fn take(&mut self, p: &mut Plan, rid: u64, a: Asked, now: Ms) {
+        if let Err(problem) = self.admit(p, rid, a, now) {
+            self.shed(rid, problem, 1);
+        }
+    }
+
+    /// What can be said at the door, before a body is read.
+    pub fn knock(&mut self, p: &Plan, rid: u64, a: &Asked) -> Result<bool, Problem> {
+        let s = p.setup.as_ref().ok_or(Problem::NoSetup)?;
+        let route = s.route(&a.route).ok_or(Problem::UnknownRoute)?;
+        let r = &s.routes[route as usize];
+        if r.home && a.home.ok_or(Problem::BadErrand)? != p.region {
+            // why: the body must not pass through a region that is not its home
+            let addr = p.edges_for(a.home, true, &a.key).first().cloned();
+            let addr = addr.ok_or(Problem::NoWorker)?;
+            self.out.push(ErrandFx::Elsewhere { rid, addr });
+            return Ok(false);
+        }
+        if p.emptied(p.zone) {
+            return Err(Problem::Leaving);
+        }
+        Ok(true)
+    }
+
+    fn admit(&mut self, p: &Plan, rid: u64, a: Asked, now: Ms) -> Result<(), Problem> {
+        let s = p.setup.as_ref().ok_or(Problem::NoSetup)?;
+        let route = s.route(&a.route).ok_or(Problem::UnknownRoute)?;
+        let r = &s.routes[route as usize];
+        if !self.knock(p, rid, &a)? {
+            return Ok(());
+        }
+        // why: what was sent once from here must not be sent again
+        let open = self.rows.values().any(|e| a.given && e.asked.id == a.id);
+        if !r.repeatable && a.given && (open || self.sent_ids.contains(&a.id)) {
+            return Err(Problem::AlreadyTaken);
+        }
+        let queue = self.queue_of(p, r);
+        let waiting = self
+            .rows
+            .values()
+            .filter(|e| e.stage == Stage::Waiting && e.route == route)
+            .count();
+        if waiting >= queue.max(1) {
+            return Err(Problem::QueueFull);
+        }
+        self.counts.first += 1;
+        self.retries.first(s.retry_percent);
+        self.rows.insert(
+            rid,
+            Errand {
+                asked: a,
+                route,
+                stage: Stage::Waiting,
+                since: now,
+                cutoff: now + r.cutoff_ms,
+                sent_at: 0,
+                tries: 0,
+                spilt: false,
+                tried: Vec::new(),
+                token: 0,
+            },
+        );
+        Ok(())
+    }
+
+    fn queue_of(&self, p: &Plan, r: &Route) -> usize {
+        let Some(s) = &p.setup else { return 0 };
+        r.shares
+            .iter()
+            .flat_map(|h| s.services[h.service as usize].groups.iter())
+            .map(|g| s.groups[*g as usize].queue as usize)
+            .max()
+            .unwrap_or(0)
+    }
+
+    pub(super) fn shed(&mut self, rid: u64, problem: Problem, again_s: u64) {
+        self.counts.shed += 1;
+        self.out.push(ErrandFx::Shed {
+            rid,
+            problem,
+            again_s,
+        });
+    }
+
+    /// Match what waits to workers with room, oldest first.
+    pub fn pass_match(&mut self, p: &mut Plan, now: Ms) {
+        self.shunned.retain(|_, t| *t > now);
+        let waiting: Vec<u64> = self
+            .rows
+            .iter()
+            .filter(|(_, e)| e.stage == Stage::Waiting)
+            .map(|(r, _)| *r)
+            .collect();
+        for rid in waiting {
+            let Some(e) = self.rows.get(&rid) else {
+                continue;
+            };
+            if let Some((i, spilt)) = self.place(p, e) {
+                self.open_at(p, rid, i, spilt);
+            }
+        }
+    }
+
+    fn place(&self, p: &Plan, e: &Errand) -> Option<(usize, bool)> {
+        let s = p.setup.as_ref()?;
+        let r = s.routes.get(e.route as usize)?;
+        let a = Ask {
+            route: e.route,
+            key: &e.asked.key,
+            id: &e.asked.id,
+            home: e.asked.home.filter(|_| r.home),
+            adapter: e.asked.adapter.as_deref(),
+        };
+        let skip = |i: usize| e.tried.contains(&i) || self.shunned.contains_key(&i);
+        let ws = &p.shown.view.weights;
+        let here = place::match_spot(s, ws, &p.spots, &skip, &a, p.region);
+        here.map(|i| (i, false)).or_else(|| {
+            s.spill
+                .iter()
+                .filter(|((from, to), n)| *from == p.region && self.spill.fits(*to, **n))
+                .find_map(|((_, to), _)| place::match_spot(s, ws, &p.spots, &skip, &a, *to))
+                .map(|i| (i, true))
+        })
+    }
+
+    fn open_at(&mut self, p: &mut Plan, rid: u64, i: usize, spilt: bool) {
+        let Some(addr) = p.addrs.get(i).copied().flatten() else {
+            return;
+        };
+        self.next_token += 1;
+        let token = self.next_token;
+        let region = p.spots[i].as_ref().map(|s| s.region);
+        self.spill.count(region.filter(|_| spilt));
+        self.counts.spilt += u64::from(spilt);
+        if let Some(e) = self.rows.get_mut(&rid) {
+            e.stage = Stage::Opening(i);
+            e.spilt = spilt;
+            e.token = token;
+            e.tries += 1;
+        }
+        p.sent(i);
+        self.out.push(ErrandFx::Open {
+            rid,
+            token,
+            worker: i,
+            addr,
+        });
+    }
+
+    /// What a worker's task tells. The one place where handing over is decided.
+    pub fn told(&mut self, p: &mut Plan, rid: u64, token: u64, t: Told, permit: bool, now: Ms) {
+        let Some(e) = self.rows.get(&rid).filter(|e| e.token == token) else {
+            self.out.push(ErrandFx::Drop { rid, token });
+            return;
+        };
+        match (e.stage, t) {
+            (Stage::Opening(i), Told::Ready) => self.hand_over(p, rid, i, permit, now),
+            (Stage::Opening(i), Told::Unsent) => {
+                self.shunned.insert(i, now + SHUN_MS);
+                self.back(p, rid, i, false);
+            }
+            (Stage::Sent(i), Told::NotRun) => self.back(p, rid, i, false),
+            (Stage::Sent(i), Told::Whole) => {
+                self.learn(rid, now);
+                self.end(p, rid, i);
+                self.counts.served += 1;
+                self.out.push(ErrandFx::Give { rid, token });
+            }
+            (Stage::Sent(i), Told::Begun) => {
+                if let Some(e) = self.rows.get_mut(&rid) {
+                    e.stage = Stage::Relaying(i);
+                }
+                self.out.push(ErrandFx::Give { rid, token });
+            }
+            (Stage::Relaying(i), Told::Ended) => {
+                self.learn(rid, now);
+                self.counts.served += 1;
+                self.end(p, rid, i);
+            }
+            (Stage::Relaying(i), Told::Broke(_)) => {
+                // why: what a caller has seen of a stream cannot be gone on elsewhere
+                self.counts.broken += 1;
+                self.end(p, rid, i);
+            }
+            (Stage::Sent(i), Told::Broke(why)) => self.broke(p, rid, i, why, now),
+            (Stage::Opening(i) | Stage::Sent(i) | Stage::Relaying(i), _) => {
+                self.broke(p, rid, i, Problem::WorkerGarbage, now)
+            }
+            (Stage::Waiting, _) => {}
+        }
+    }
+
+    /// Send, or take it back: after this either the worker may run it or the
+    /// caller may be refused, never both.
+    fn hand_over(&mut self, p: &mut Plan, rid: u64, i: usize, permit: bool, now: Ms) {
+        let Some(e) = self.rows.get_mut(&rid) else {
+            return;
+        };
+        let token = e.token;
+        let late = now >= e.cutoff;
+        let fits = permit && p.open(i) && !late && allowed(p, e, i);
+        if !fits {
+            self.out.push(ErrandFx::Drop { rid, token });
+            if permit && !late {
+                return self.back(p, rid, i, true);
+            }
+            self.end(p, rid, i);
+            let why = if late {
+                Problem::GivenUp
+            } else {
+                Problem::NoPermit
+            };
+            return self.shed(rid, why, 1);
+        }
+        e.stage = Stage::Sent(i);
+        e.sent_at = now;
+        let repeatable = p
+            .setup
+            .as_ref()
+            .is_some_and(|s| s.routes[e.route as usize].repeatable);
+        let id = e.asked.id.clone();
+        if !repeatable {
+            self.remember(id);
+        }
+        self.out.push(ErrandFx::Go { rid, token });
+    }
+
+    fn remember(&mut self, id: String) {
+        if self.sent_ids.insert(id.clone()) {
+            self.sent_order.push_back(id);
+        }
+        if self.sent_order.len() > REMEMBERED_MOST {
+            self.sent_order
+                .pop_front()
+                .map(|o| self.sent_ids.remove(&o));
+        }
+    }
+
+    /// Nothing of it has run: wait again, for another worker.
+    fn back(&mut self, p: &mut Plan, rid: u64, i: usize, free: bool) {
+        p.done(i);
+        let ok = free || self.retries.again();
+        self.counts.again += u64::from(ok && !free);
+        let Some(e) = self.rows.get_mut(&rid) else {
+            return;
+        };
+        self.sent_ids.remove(&e.asked.id);
+        e.stage = Stage::Waiting;
+        e.token = 0;
+        e.tried.push(i);
+        if !ok || e.tries >= 4 {
+            self.rows.remove(&rid);
+            self.shed(rid, Problem::NoWorker, 1);
+        }
+    }
+
+    pub(super) fn broke(&mut self, p: &mut Plan, rid: u64, i: usize, why: Problem, now: Ms) {
+        let Some(e) = self.rows.get(&rid).cloned() else {
+            return;
+        };
+        let again = p
+            .setup
+            .as_ref()
+            .and_then(|s| s.routes.get(e.route as usize))
+            .is_some_and(|r| r.repeatable);
+        self.shunned.insert(i, now + SHUN_MS);
+        if again && now < e.cutoff && e.tries < 3 && self.retries.again() {
+            self.counts.again += 1;
+            return self.back(p, rid, i, true);
+        }
+        self.end(p, rid, i);
+        if again {
+            return self.shed(rid, why, 1);
+        }
+        self.counts.unknown += 1;
+        let (id, worker) = (e.asked.id, p.name(i));
+        self.out.push(ErrandFx::Unknown { id, worker });
+        // why: it may have run, so it must not be called refused
+        self.shed(rid, Problem::OutcomeUnknown, 1);
+    }
+
+    pub(super) fn end(&mut self, p: &mut Plan, rid: u64, i: usize) {
+        p.done(i);
+        self.rows.remove(&rid);
+    }
+
+    /// Remember how long the route's errands take once they are sent.
+    fn learn(&mut self, rid: u64, now: Ms) {
+        if let Some(e) = self.rows.get(&rid) {
+            let took = now.saturating_sub(e.sent_at);
+            let t = self.takes.entry(e.asked.route.clone()).or_insert(took);
+            *t = (*t * 7 + took) / 8;
+        }
+    }
+}
+
+/// Whether the setup in force lets this errand go to this worker.
+fn allowed(p: &Plan, e: &Errand, i: usize) -> bool {
+    let Some(s) = &p.setup else { return false };
+    let Some(r) = s.routes.get(e.route as usize) else {
+        return false;
+    };
+    let Some(w) = p.spots.get(i).and_then(|w| w.as_ref()) else {
+        return false;
+    };
+    let home = !r.home || e.asked.home == Some(w.region);
+    let ws = &p.shown.view.weights;
+    home && r.name == e.asked.route
+        && r.shares.iter().any(|h| {
+            let n = crate::tune::weight(ws, e.route, h.service).unwrap_or(h.weight);
+            n > 0 && s.services[h.service as usize].groups.contains(&w.group)
+        })
+}
+
+const REMEMBERED_MOST: usize = super::REMEMBERED;
--- /dev/null
+++ b/sorreldoor/src/http.rs
@@ -0,0 +1,320 @@
+//! HTTP/1.1 with JSON, through async-h1: serving with bounds, and calling out
+//! with results verified whole.
+
+use crate::js::Val;
+use crate::problem::Problem;
+use async_std::future::timeout;
+use async_std::net::{TcpListener, TcpStream};
+use async_std::task;
+use http_types::{Body, Method, Mime, Request, Response, StatusCode, Url};
+use simd_json::prelude::*;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+
+pub const HEAD: Duration = Duration::from_secs(10);
+pub const IDLE: Duration = Duration::from_secs(60);
+
+pub fn json(status: u16, text: String) -> Response {
+    let code = StatusCode::try_from(status).unwrap_or(StatusCode::InternalServerError);
+    let mut r = Response::new(code);
+    r.set_body(Body::from_string(text));
+    r.set_content_type(http_types::mime::JSON);
+    r
+}
+
+pub fn ok(v: Val) -> Response {
+    json(200, v.encode())
+}
+
+/// The result for a problem, straight from the table.
+pub fn shed(p: Problem, more: &str, again: u64) -> Response {
+    let mut v = Val::object();
+    let _ = v.insert("problem", p.code());
+    let _ = v.insert("text", p.text());
+    if !more.is_empty() {
+        let _ = v.insert("about", more);
+    }
+    let mut r = json(p.status(), v.encode());
+    if p.again() {
+        r.insert_header("retry-after", again.max(1).to_string());
+    }
+    r
+}
+
+/// The far end of the connection that an errand came on.
+pub struct Peer(TcpStream);
+
+impl Peer {
+    /// Run `f` if the caller hangs up while the watch stands.
+    pub fn watch<F, Fut>(self, f: F) -> Watch
+    where
+        F: FnOnce() -> Fut + Send + 'static,
+        Fut: Future<Output = ()> + Send + 'static,
+    {
+        Watch(Some(task::spawn(async move {
+            let mut b = [0; 1];
+            // why: bytes that wait belong to the next errand; only an end counts
+            if matches!(self.0.peek(&mut b).await, Ok(0) | Err(_)) {
+                f().await;
+            }
+        })))
+    }
+}
+
+/// A standing watch; it ends when dropped.
+pub struct Watch(Option<task::JoinHandle<()>>);
+
+impl Watch {
+    pub fn stop(self) {}
+}
+
+impl Drop for Watch {
+    fn drop(&mut self) {
+        if let Some(h) = self.0.take() {
+            task::spawn(async move {
+                h.cancel().await;
+            });
+        }
+    }
+}
+
+/// Serve connections until the listener is dropped; `most` at once.
+pub async fn serve<F, Fut>(l: TcpListener, most: usize, f: F)
+where
+    F: Fn(Request, Peer) -> Fut + Clone + Send + Sync + 'static,
+    Fut: Future<Output = Response> + Send + 'static,
+{
+    let open = Arc::new(AtomicUsize::new(0));
+    loop {
+        let Ok((s, _)) = l.accept().await else {
+            task::sleep(Duration::from_millis(20)).await;
+            continue;
+        };
+        let n = open.fetch_add(1, Ordering::SeqCst);
+        let (open, f) = (open.clone(), f.clone());
+        task::spawn(async move {
+            let _ = s.set_nodelay(true);
+            if n >= most {
+                let mut s = s;
+                let _ = timeout(HEAD, refuse(&mut s, Problem::TooManyConnections)).await;
+            } else {
+                one(s, f).await;
+            }
+            open.fetch_sub(1, Ordering::SeqCst);
+        });
+    }
+}
+
+async fn refuse(s: &mut TcpStream, p: Problem) -> std::io::Result<()> {
+    use async_std::io::prelude::*;
+    let mut r = shed(p, "", 1);
+    r.insert_header("connection", "close");
+    let mut e = async_h1::server::Encoder::new(r, Method::Get);
+    let mut b = Vec::new();
+    e.read_to_end(&mut b).await?;
+    s.write_all(&b).await
+}
+
+async fn one<F, Fut>(mut s: TcpStream, f: F)
+where
+    F: Fn(Request, Peer) -> Fut + Clone + Send + Sync + 'static,
+    Fut: Future<Output = Response> + Send + 'static,
+{
+    loop {
+        // why: an idle connection is kept, but not for ever
+        let mut first = [0; 1];
+        if !matches!(timeout(IDLE, s.peek(&mut first)).await, Ok(Ok(1))) {
+            return;
+        }
+        let begun = Arc::new(AtomicBool::new(false));
+        let seen = begun.clone();
+        let endpoint = |req| {
+            seen.store(true, Ordering::SeqCst);
+            let r = f(req, Peer(s.clone()));
+            async move { Ok(r.await) }
+        };
+        let late = task::spawn(cut_late(s.clone(), begun.clone()));
+        let got = async_h1::server::Server::new(s.clone(), endpoint)
+            .accept_one()
+            .await;
+        late.cancel().await;
+        match got {
+            Ok(async_h1::server::ConnectionStatus::KeepAlive) => {}
+            Ok(_) => return,
+            Err(_) => {
+                // why: a head that is no HTTP, or too large, still gets a word
+                if !begun.load(Ordering::SeqCst) {
+                    let _ = timeout(HEAD, refuse(&mut s, Problem::BadErrand)).await;
+                }
+                return;
+            }
+        }
+    }
+}
+
+/// End a connection whose head does not arrive whole in time.
+async fn cut_late(mut s: TcpStream, begun: Arc<AtomicBool>) {
+    task::sleep(HEAD).await;
+    if !begun.load(Ordering::SeqCst) {
+        let _ = timeout(HEAD, refuse(&mut s, Problem::SlowSender)).await;
+        let _ = s.shutdown(std::net::Shutdown::Both);
+    }
+}
+
+/// A body of at most `most` bytes that arrives within the time.
+pub async fn body(req: &mut Request, most: usize, within: Duration) -> Result<Vec<u8>, Problem> {
+    use async_std::io::ReadExt;
+    if req.len().is_some_and(|n| n > most) {
+        return Err(Problem::BodyTooLarge);
+    }
+    let want = req.len();
+    let mut b = Vec::new();
+    let body = req.take_body();
+    let mut body = body.take(most as u64 + 1);
+    let got = timeout(within, body.read_to_end(&mut b)).await;
+    match got {
+        Err(_) => Err(Problem::SlowSender),
+        Ok(Err(_)) => Err(Problem::BadErrand),
+        Ok(Ok(_)) if b.len() > most => Err(Problem::BodyTooLarge),
+        // why: async-h1 takes an early end of a counted body for its end
+        Ok(Ok(_)) if want.is_some_and(|n| n != b.len()) => Err(Problem::SlowSender),
+        Ok(Ok(_)) => Ok(b),
+    }
+}
+
+/// How a call out failed, and whether bytes may have left before.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Broke {
+    /// No connection: nothing was sent.
+    Unsent,
+    /// Sent, and then no whole head came back.
+    Sent,
+    /// A result that ended before its length.
+    Short,
+    /// A result that is not what the protocol says.
+    Garbage,
+    /// The time was up.
+    Late,
+}
+
+pub struct Called {
+    pub status: u16,
+    pub kind: String,
+    pub errand: Option<String>,
+    pub body: Vec<u8>,
+}
+
+pub struct Call {
+    pub method: Method,
+    pub path: String,
+    pub heads: Vec<(&'static str, String)>,
+    pub body: Vec<u8>,
+}
+
+impl Call {
+    pub fn get(path: &str) -> Call {
+        Call {
+            method: Method::Get,
+            path: path.to_string(),
+            heads: Vec::new(),
+            body: Vec::new(),
+        }
+    }
+}
+
+pub async fn open(addr: SocketAddr, within: Duration) -> Result<TcpStream, Broke> {
+    // why: a fresh connection each time, so no reset of a reused one can leave
+    // it unknown whether an errand ran
+    let s = timeout(within, TcpStream::connect(addr))
+        .await
+        .ok()
+        .and_then(|s| s.ok())
+        .ok_or(Broke::Unsent)?;
+    let _ = s.set_nodelay(true);
+    Ok(s)
+}
+
+/// Send on an open connection; the head of the result comes back.
+pub async fn send(s: TcpStream, c: Call) -> Result<Response, Broke> {
+    let at = s.peer_addr().map_err(|_| Broke::Unsent)?;
+    let url = Url::parse(&format!("http://{at}{}", c.path)).map_err(|_| Broke::Unsent)?;
+    let mut req = Request::new(c.method, url);
+    for (k, v) in c.heads {
+        req.insert_header(k, v);
+    }
+    req.insert_header("connection", "close");
+    if !c.body.is_empty() || c.method != Method::Get {
+        req.set_body(Body::from_bytes(c.body));
+        req.set_content_type(http_types::mime::JSON);
+    }
+    async_h1::connect(s, req).await.map_err(|_| Broke::Sent)
+}
+
+/// Whether a result says how long it is, so that a short one can be told.
+pub fn framed(r: &Response) -> bool {
+    let chunked = r
+        .header("transfer-encoding")
+        .is_some_and(|h| h.last().as_str().eq_ignore_ascii_case("chunked"));
+    chunked || r.header("content-length").is_some()
+}
+
+/// Read a result to its stated end.
+pub async fn whole(mut r: Response, most: usize) -> Result<Called, Broke> {
+    use async_std::io::ReadExt;
+    if !framed(&r) {
+        return Err(Broke::Garbage);
+    }
+    let want = r
+        .header("content-length")
+        .and_then(|h| h.last().as_str().parse::<usize>().ok());
+    if want.is_some_and(|n| n > most) {
+        return Err(Broke::Garbage);
+    }
+    let kind = r
+        .content_type()
+        .map_or(String::new(), |m: Mime| m.essence().to_string());
+    let errand = r
+        .header("x-errand-id")
+        .map(|h| h.last().as_str().to_string());
+    let status: u16 = r.status().into();
+    let mut b = Vec::new();
+    let mut body = r.take_body().take(most as u64 + 1);
+    body.read_to_end(&mut b).await.map_err(|_| Broke::Short)?;
+    if b.len() > most {
+        return Err(Broke::Garbage);
+    }
+    // why: async-h1 takes an early end of a counted body for its end
+    if want.is_some_and(|n| n != b.len()) {
+        return Err(Broke::Short);
+    }
+    Ok(Called {
+        status,
+        kind,
+        errand,
+        body: b,
+    })
+}
+
+/// Connect, send, and read a whole result, all within `within`.
+pub async fn call(
+    addr: SocketAddr,
+    c: Call,
+    most: usize,
+    within: Duration,
+) -> Result<Called, Broke> {
+    let s = open(addr, within).await?;
+    timeout(within, async { whole(send(s, c).await?, most).await })
+        .await
+        .unwrap_or(Err(Broke::Late))
+}
+
+/// One value of a query string, percent-decoded by the URL library.
+pub fn query(req: &Request, k: &str) -> Option<String> {
+    req.url()
+        .query_pairs()
+        .find(|(n, _)| n == k)
+        .map(|(_, v)| v.into_owned())
+}
--- /dev/null
+++ b/sorreldoor/src/net.rs
@@ -0,0 +1,215 @@
+//! Connections that carry frames: dialled again when lost, bounded both ways.
+
+use crate::events::{say, Ev};
+use crate::wire::{self, Payload};
+use async_std::channel::{bounded, Receiver, Sender};
+use async_std::future::timeout;
+use async_std::io::prelude::*;
+use async_std::net::{TcpListener, TcpStream};
+use async_std::sync::Arc;
+use async_std::task;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::Mutex;
+use std::time::Duration;
+
+pub type Conn = u64;
+
+/// A bounded ring into a duty's thread.
+pub type Ring<T> = Sender<T>;
+
+const OUT: usize = 1024;
+const IDLE: Duration = Duration::from_secs(3);
+const DIAL: Duration = Duration::from_millis(800);
+
+#[derive(Debug)]
+pub enum NetEvent {
+    Up {
+        conn: Conn,
+        dialled: Option<SocketAddr>,
+    },
+    Frame {
+        conn: Conn,
+        payload: Box<Payload>,
+    },
+    Down {
+        conn: Conn,
+    },
+}
+
+/// A standing dial: whether to stop, and the connection it has now.
+#[derive(Default)]
+struct Dial {
+    stop: AtomicBool,
+    conn: AtomicU64,
+}
+
+type Outs = Arc<Mutex<HashMap<Conn, Sender<Arc<Vec<u8>>>>>>;
+
+/// All frame connections of one process.
+pub struct Net<E> {
+    mark: Arc<String>,
+    into: Ring<E>,
+    wrap: fn(NetEvent) -> E,
+    outs: Outs,
+    next: Arc<AtomicU64>,
+    dials: Arc<Mutex<HashMap<SocketAddr, Arc<Dial>>>>,
+    most: usize,
+}
+
+impl<E> Clone for Net<E> {
+    fn clone(&self) -> Net<E> {
+        Net {
+            mark: self.mark.clone(),
+            into: self.into.clone(),
+            wrap: self.wrap,
+            outs: self.outs.clone(),
+            next: self.next.clone(),
+            dials: self.dials.clone(),
+            most: self.most,
+        }
+    }
+}
+
+impl<E: Send + 'static> Net<E> {
+    pub fn new(mark: String, into: Ring<E>, wrap: fn(NetEvent) -> E, most: usize) -> Net<E> {
+        Net {
+            mark: Arc::new(mark),
+            into,
+            wrap,
+            outs: Arc::default(),
+            next: Arc::new(AtomicU64::new(1)),
+            dials: Arc::default(),
+            most,
+        }
+    }
+
+    /// Queue a frame; false if the connection is gone or too far behind.
+    pub fn send(&self, conn: Conn, p: &Payload) -> bool {
+        let out = locked(&self.outs).get(&conn).cloned();
+        let b = Arc::new(wire::pack(&self.mark, p));
+        out.is_some_and(|o| o.try_send(b).is_ok())
+    }
+
+    pub fn close(&self, conn: Conn) {
+        locked(&self.outs)
+            .remove(&conn)
+            .map(|o| o.close())
+            .unwrap_or(false);
+    }
+
+    pub async fn listen(self, l: TcpListener) {
+        loop {
+            let Ok((s, _)) = l.accept().await else {
+                task::sleep(Duration::from_millis(50)).await;
+                continue;
+            };
+            // why: a flood of connections must not take the node's memory
+            if locked(&self.outs).len() >= self.most {
+                continue;
+            }
+            let me = self.clone();
+            task::spawn(async move { me.run(s, None).await });
+        }
+    }
+
+    /// Keep a connection to `addr` until told otherwise; `to` is where to dial.
+    pub fn dial(&self, addr: SocketAddr, to: SocketAddr) {
+        let d = Arc::new(Dial::default());
+        if locked(&self.dials).contains_key(&addr) {
+            return;
+        }
+        locked(&self.dials).insert(addr, d.clone());
+        let me = self.clone();
+        task::spawn(async move {
+            let mut wait = 50;
+            while !d.stop.load(Ordering::SeqCst) {
+                if let Ok(Ok(s)) = timeout(DIAL, TcpStream::connect(to)).await {
+                    wait = 50;
+                    me.clone().run(s, Some((addr, d.clone()))).await;
+                }
+                task::sleep(Duration::from_millis(wait)).await;
+                wait = (wait * 2).min(500);
+            }
+        });
+    }
+
+    pub fn undial(&self, addr: SocketAddr) {
+        let d = locked(&self.dials).remove(&addr);
+        if let Some(d) = d {
+            d.stop.store(true, Ordering::SeqCst);
+            self.close(d.conn.load(Ordering::SeqCst));
+        }
+    }
+
+    async fn run(self, s: TcpStream, dial: Option<(SocketAddr, Arc<Dial>)>) {
+        let conn = self.next.fetch_add(1, Ordering::Relaxed);
+        let _ = s.set_nodelay(true);
+        let (tx, rx) = bounded(OUT);
+        locked(&self.outs).insert(conn, tx);
+        if let Some((_, d)) = &dial {
+            d.conn.store(conn, Ordering::SeqCst);
+            // why: it may have been told to stop while it was connecting
+            if d.stop.load(Ordering::SeqCst) {
+                return self.close(conn);
+            }
+        }
+        let dialled = dial.map(|(a, _)| a);
+        let up = (self.wrap)(NetEvent::Up { conn, dialled });
+        let _ = self.into.send(up).await;
+        let w = task::spawn(write(s.clone(), rx));
+        self.read(conn, s).await;
+        self.close(conn);
+        w.cancel().await;
+        let down = (self.wrap)(NetEvent::Down { conn });
+        let _ = self.into.send(down).await;
+    }
+
+    async fn read(&self, conn: Conn, mut s: TcpStream) {
+        loop {
+            let mut head = [0; 4];
+            let got = timeout(IDLE, s.read_exact(&mut head)).await;
+            if !matches!(got, Ok(Ok(()))) || !locked(&self.outs).contains_key(&conn) {
+                return;
+            }
+            let got = match wire::length(head) {
+                Err(e) => Err(e),
+                Ok(n) => {
+                    let mut b = vec![0; n];
+                    if !matches!(timeout(IDLE, s.read_exact(&mut b)).await, Ok(Ok(()))) {
+                        return;
+                    }
+                    wire::unpack(&self.mark, &b)
+                }
+            };
+            match got {
+                Ok(p) => {
+                    let payload = Box::new(p);
+                    let ev = (self.wrap)(NetEvent::Frame { conn, payload });
+                    if self.into.send(ev).await.is_err() {
+                        return;
+                    }
+                }
+                Err(e) => {
+                    let from = s.peer_addr().map(|a| a.to_string()).unwrap_or_default();
+                    say(Ev::FrameRefused, format!("from {from}: {e}"));
+                    return;
+                }
+            }
+        }
+    }
+}
+
+async fn write(mut s: TcpStream, rx: Receiver<Arc<Vec<u8>>>) {
+    while let Ok(b) = rx.recv().await {
+        if s.write_all(&b).await.is_err() {
+            break;
+        }
+    }
+    let _ = s.shutdown(std::net::Shutdown::Both);
+}
+
+fn locked<T>(m: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+    m.lock().unwrap_or_else(|p| p.into_inner())
+}
--- /dev/null
+++ b/sorreldoor/src/ops.rs
@@ -0,0 +1,182 @@
+//! Operators' errands as both roles take them: what a path and method mean.
+
+use crate::agree::Pid;
+use crate::http;
+use crate::js::Val;
+use crate::problem::Problem;
+use crate::record::{Cmd, Outcome};
+use crate::setup::{self, Site};
+use crate::wire::OpOutcome;
+use http_types::{Method, Request, Response};
+use simd_json::prelude::*;
+use std::time::Duration;
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Op {
+    Change { pid: Pid, cmd: Cmd },
+    Check { faults: Vec<String> },
+    Setup,
+    Status,
+    Proposal(Pid),
+    DropCore { pid: Pid, id: u64 },
+}
+
+/// A fresh id from the system's randomness, through the standard library.
+pub fn fresh() -> u64 {
+    use std::hash::{BuildHasher, Hasher};
+    let mut h = std::collections::hash_map::RandomState::new().build_hasher();
+    let t = std::time::SystemTime::now()
+        .duration_since(std::time::UNIX_EPOCH)
+        .map_or(0, |d| d.as_nanos() as u64);
+    h.write_u64(t);
+    h.write_u32(std::process::id());
+    h.finish().max(1)
+}
+
+pub fn fresh_pid() -> Pid {
+    (Pid::from(fresh()) << 64) | Pid::from(fresh())
+}
+
+pub fn pid_text(p: Pid) -> String {
+    format!("{p:032x}")
+}
+
+pub fn read_pid(s: &str) -> Option<Pid> {
+    Some(s)
+        .filter(|s| (1..=32).contains(&s.len()))
+        .and_then(|s| Pid::from_str_radix(s, 16).ok())
+        .filter(|p| *p != 0)
+}
+
+fn base(req: &Request) -> Result<u64, Problem> {
+    let b = http::query(req, "base").ok_or(Problem::NoBase)?;
+    b.parse().map_err(|_| Problem::NoBase)
+}
+
+fn given_pid(req: &Request) -> Result<Pid, Problem> {
+    http::query(req, "id").map_or_else(
+        || Ok(fresh_pid()),
+        |s| read_pid(&s).ok_or(Problem::BadErrand),
+    )
+}
+
+/// What an operator asks for; none where the path is no operator's.
+pub async fn read(req: &mut Request, site: &Site) -> Option<Result<Op, Problem>> {
+    let path = req.url().path().to_string();
+    let rest = path.strip_prefix("/v1/")?;
+    let parts: Vec<&str> = rest.split('/').collect();
+    let m = req.method();
+    Some(match (m, parts.as_slice()) {
+        (Method::Get, ["setup"]) => Ok(Op::Setup),
+        (Method::Get, ["status"]) => Ok(Op::Status),
+        (Method::Get, ["proposals", id]) => {
+            read_pid(id).map(Op::Proposal).ok_or(Problem::BadErrand)
+        }
+        (Method::Put, ["setup"]) => doc(req, |base, doc| Cmd::Put { base, doc }).await,
+        (Method::Patch, ["setup"]) => doc(req, |base, patch| Cmd::Edit { base, patch }).await,
+        (Method::Post, ["check"]) => check(req, site).await,
+        (Method::Post, ["zones", z, "empty"]) => zone(req, site, z, true),
+        (Method::Post, ["zones", z, "return"]) => zone(req, site, z, false),
+        (Method::Post, ["cores", id, "drop"]) => u64::from_str_radix(id, 16)
+            .map_err(|_| Problem::BadErrand)
+            .and_then(|id| given_pid(req).map(|pid| Op::DropCore { pid, id })),
+        (_, ["setup" | "status" | "check"] | ["proposals", _])
+        | (_, ["zones", _, "empty" | "return"] | ["cores", _, "drop"]) => Err(Problem::BadMethod),
+        _ => return None,
+    })
+}
+
+async fn text(req: &mut Request) -> Result<String, Problem> {
+    let b = http::body(req, setup::MOST_BYTES, Duration::from_secs(10)).await?;
+    String::from_utf8(b).map_err(|_| Problem::BadJson)
+}
+
+async fn doc(req: &mut Request, f: impl Fn(u64, String) -> Cmd) -> Result<Op, Problem> {
+    let base = base(req)?;
+    let pid = given_pid(req)?;
+    let t = text(req).await?;
+    Ok(Op::Change {
+        pid,
+        cmd: f(base, t),
+    })
+}
+
+async fn check(req: &mut Request, site: &Site) -> Result<Op, Problem> {
+    let t = text(req).await?;
+    let faults = setup::read(t.as_bytes(), site).err().unwrap_or_default();
+    Ok(Op::Check { faults })
+}
+
+fn zone(req: &Request, site: &Site, z: &str, emptied: bool) -> Result<Op, Problem> {
+    let zone = site.zone(z).ok_or(Problem::UnknownZone)?;
+    let base = base(req)?;
+    let pid = given_pid(req)?;
+    Ok(Op::Change {
+        pid,
+        cmd: Cmd::Zone {
+            base,
+            zone,
+            emptied,
+        },
+    })
+}
+
+fn list(v: &[String]) -> Val {
+    Val::from(v.iter().map(|s| Val::from(s.as_str())).collect::<Vec<_>>())
+}
+
+/// The yes, the no, or the honest don't-know to a change.
+pub fn result(pid: Pid, o: &OpOutcome) -> Response {
+    let mut v = Val::object();
+    let _ = v.insert("proposal", pid_text(pid));
+    let p = match o {
+        OpOutcome::Got(Outcome::Taken { serial }) => {
+            let _ = v.insert("taken", true);
+            let _ = v.insert("serial", *serial);
+            return http::ok(v);
+        }
+        OpOutcome::Got(Outcome::Stale { serial }) => {
+            let _ = v.insert("serial", *serial);
+            Problem::StaleSerial
+        }
+        OpOutcome::Got(Outcome::Bad { faults }) => {
+            let _ = v.insert("faults", list(faults));
+            Problem::BadSetup
+        }
+        OpOutcome::Got(Outcome::OldEpoch { epoch }) => {
+            let _ = v.insert("epoch", *epoch);
+            Problem::StaleSerial
+        }
+        OpOutcome::Unknown => Problem::PendingUnknown,
+        OpOutcome::NotTaken => Problem::NotTaken,
+        OpOutcome::Nothing => Problem::UnknownProposal,
+    };
+    // why: neither a yes nor a no may be read out of a don't-know
+    if p != Problem::PendingUnknown {
+        let _ = v.insert("taken", false);
+    }
+    let _ = v.insert("problem", p.code());
+    let _ = v.insert("text", p.text());
+    let mut r = http::json(p.status(), v.encode());
+    if p.again() {
+        r.insert_header("retry-after", "1");
+    }
+    r
+}
+
+pub fn checked(faults: &[String]) -> Response {
+    let mut v = Val::object();
+    let _ = v.insert("good", faults.is_empty());
+    let _ = v.insert("faults", list(faults));
+    http::ok(v)
+}
+
+/// The setup in force, as any node shows it.
+pub fn setup_view(serial: u64, doc: Option<&str>, emptied: &[String]) -> Response {
+    let mut v = Val::object();
+    let _ = v.insert("serial", serial);
+    let doc = doc.and_then(|d| crate::js::parse(d.as_bytes(), usize::MAX).ok());
+    let _ = v.insert("setup", doc.unwrap_or_default());
+    let _ = v.insert("emptied", list(emptied));
+    http::ok(v)
+}
--- /dev/null
+++ b/sorreldoor/src/pull.rs
@@ -0,0 +1,181 @@
+//! An edge's session and permit: it pulls what it lacks, and serves only
+//! while a core has proved to it, a moment ago, that it is up to date.
+
+use crate::agree::Ms;
+use crate::wire::Have;
+use std::net::SocketAddr;
+
+/// Alarms farther apart than this mean that the process did not run.
+const GAP: Ms = 400;
+/// A wall clock that runs ahead of the monotonic one by so much was suspended.
+const JUMP: i64 = 1000;
+const SILENT: Ms = 900;
+
+#[derive(Clone, Debug)]
+pub struct Pull {
+    cores: Vec<(SocketAddr, bool)>,
+    at: usize,
+    pub dialled: Option<SocketAddr>,
+    pub conn: Option<u64>,
+    pub have: Have,
+    permit_ms: Ms,
+    permit_until: Ms,
+    no: u64,
+    /// Renewals on their way: number and when they were sent.
+    sent: Vec<(u64, Ms)>,
+    renew_at: Ms,
+    heard: Ms,
+    last_alarm: Ms,
+    last_wall: i64,
+    was: bool,
+}
+
+/// What the edge should do about its session now.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum PullFx {
+    Dial(SocketAddr),
+    Undial(SocketAddr),
+    Renew { conn: u64, no: u64 },
+    Lost,
+    Woken(String),
+    PermitLost,
+    PermitBack,
+}
+
+impl Pull {
+    pub fn new(seeds: &[SocketAddr], permit_ms: Ms, now: Ms, wall: i64) -> Pull {
+        Pull {
+            cores: seeds.iter().map(|s| (*s, false)).collect(),
+            at: 0,
+            dialled: None,
+            conn: None,
+            have: Have::default(),
+            permit_ms,
+            permit_until: 0,
+            no: 0,
+            sent: Vec::new(),
+            renew_at: now,
+            heard: now,
+            last_alarm: now,
+            last_wall: wall,
+            was: false,
+        }
+    }
+
+    pub fn permit(&self, now: Ms) -> bool {
+        now < self.permit_until
+    }
+
+    pub fn left(&self, now: Ms) -> Ms {
+        self.permit_until.saturating_sub(now)
+    }
+
+    pub fn alarm(&mut self, now: Ms, wall: i64) -> Vec<PullFx> {
+        let mut out = Vec::new();
+        let gap = now.saturating_sub(self.last_alarm);
+        let jump = (wall - self.last_wall) - gap as i64;
+        self.last_alarm = now;
+        self.last_wall = wall;
+        // why: while it slept the world may have moved on, and a monotonic
+        // clock may have stood still with the machine
+        if gap > GAP || jump > JUMP {
+            self.permit_until = 0;
+            self.sent.clear();
+            self.heard = now;
+            self.renew_at = now;
+            out.push(PullFx::Woken(format!("gap {gap} ms, jump {jump} ms")));
+        }
+        self.session(now, &mut out);
+        if self.was != self.permit(now) {
+            self.was = !self.was;
+            out.push(if self.was {
+                PullFx::PermitBack
+            } else {
+                PullFx::PermitLost
+            });
+        }
+        if let Some(conn) = self.conn.filter(|_| now >= self.renew_at) {
+            out.push(self.renew(conn, now));
+        }
+        out
+    }
+
+    /// Ask for a renewal now; what is granted counts from this moment.
+    pub fn renew(&mut self, conn: u64, now: Ms) -> PullFx {
+        self.no += 1;
+        self.sent.push((self.no, now));
+        if self.sent.len() > 64 {
+            self.sent.remove(0);
+        }
+        let soon = self.left(now) < self.permit_ms / 2;
+        self.renew_at = now + if soon { 120 } else { 300 };
+        PullFx::Renew { conn, no: self.no }
+    }
+
+    pub fn last_no(&self) -> u64 {
+        self.no
+    }
+
+    /// Keep a session with one core; go on to the next when it is silent.
+    fn session(&mut self, now: Ms, out: &mut Vec<PullFx>) {
+        let silent = now.saturating_sub(self.heard) > SILENT;
+        if self.dialled.is_some() && !silent {
+            return;
+        }
+        if let Some(a) = self.dialled.take() {
+            out.push(PullFx::Undial(a));
+            if self.conn.take().is_some() {
+                out.push(PullFx::Lost);
+            }
+            self.at += 1;
+        }
+        if let Some((a, _)) = self.cores.get(self.at % self.cores.len().max(1)).copied() {
+            self.dialled = Some(a);
+            self.heard = now;
+            out.push(PullFx::Dial(a));
+        }
+    }
+
+    pub fn up(&mut self, conn: u64, addr: SocketAddr, now: Ms) {
+        if self.dialled == Some(addr) {
+            self.conn = Some(conn);
+            self.renew_at = now;
+        }
+    }
+
+    pub fn down(&mut self, conn: u64) {
+        if self.conn == Some(conn) {
+            self.conn = None;
+        }
+    }
+
+    /// A grant came: it counts from when its renewal was sent.
+    pub fn granted(&mut self, no: u64, ok: bool, now: Ms) -> bool {
+        let Some(i) = self.sent.iter().position(|(n, _)| *n == no) else {
+            return false;
+        };
+        let at = self.sent[i].1;
+        self.sent.drain(..=i);
+        if ok {
+            self.heard = now;
+            self.permit_until = self.permit_until.max(at + self.permit_ms);
+        } else {
+            // why: a core without a quorum is no use for long; look on sooner
+            self.heard = self.heard.min(now.saturating_sub(SILENT / 2));
+        }
+        ok
+    }
+
+    /// The cores as the site has them now; those of one's own region first.
+    pub fn take_cores(&mut self, mut cores: Vec<(SocketAddr, bool)>) {
+        cores.sort_by_key(|(a, near)| (!near, *a));
+        if !cores.is_empty() && cores != self.cores {
+            self.cores = cores;
+            self.at = self
+                .cores
+                .iter()
+                .position(|(a, _)| Some(*a) == self.dialled)
+                .unwrap_or(0);
+        }
+    }
+}
--- /dev/null
+++ b/sorreldoor/src/roster.rs
@@ -0,0 +1,142 @@
+//! The platform's list of workers, and what workers report of their load.
+
+use crate::js::{self, Faults, Val};
+use crate::setup::Site;
+use serde::{Deserialize, Serialize};
+use simd_json::prelude::*;
+use std::net::SocketAddr;
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Worker {
+    pub name: String,
+    pub addr: SocketAddr,
+    pub group: String,
+    pub zone: u16,
+    pub region: u8,
+    pub leaving: bool,
+}
+
+/// The list as of one of the platform's own serials, which only grow.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Roster {
+    pub serial: u64,
+    pub workers: Vec<Worker>,
+}
+
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Load {
+    pub name: String,
+    pub running: u32,
+    pub queued: u32,
+    pub slots: u32,
+    /// Errands finished since the worker's cache was cold.
+    pub finished: u64,
+    pub adapters: Vec<String>,
+    pub weights: String,
+    /// It answered the last time it was asked.
+    pub live: bool,
+}
+
+/// Load reports, gathered by the duty's holder under its epoch.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Loads {
+    pub epoch: u64,
+    pub serial: u64,
+    pub rows: Vec<Load>,
+}
+
+impl Loads {
+    pub fn mark(&self) -> (u64, u64) {
+        (self.epoch, self.serial)
+    }
+    pub fn of(&self, name: &str) -> Option<&Load> {
+        self.rows.iter().find(|l| l.name == name)
+    }
+}
+
+const MOST: usize = 1 << 20;
+
+pub fn read_roster(text: &[u8], site: &Site) -> Result<Roster, String> {
+    let v = js::parse(text, MOST)?;
+    let mut f = Faults::default();
+    let serial = v.get("serial").and_then(|s| s.as_u64());
+    if serial.is_none() {
+        f.add("serial", "must be a whole number");
+    }
+    let rows = v.get("workers").and_then(|w| w.as_array());
+    if rows.is_none() {
+        f.add("workers", "must be a list");
+    }
+    let workers = rows
+        .into_iter()
+        .flatten()
+        .enumerate()
+        .filter_map(|(i, w)| worker(w, &format!("workers[{i}]"), site, &mut f))
+        .collect();
+    let r = Roster {
+        serial: serial.unwrap_or(0),
+        workers,
+    };
+    // why: half a list would look like workers gone
+    Some(r).filter(|_| f.none()).ok_or(f.0.join("; "))
+}
+
+fn worker(v: &Val, at: &str, site: &Site, f: &mut Faults) -> Option<Worker> {
+    let o = f.object(v, at, &["name", "addr", "group", "zone", "state"])?;
+    let name = o.must_text("name", f)?;
+    let addr = o.must_text("addr", f)?.parse::<SocketAddr>().ok();
+    if addr.is_none() {
+        f.add(&o.at("addr"), "is not IP:PORT");
+    }
+    let group = o.must_text("group", f)?;
+    let zone = site.zone(o.must_text("zone", f)?);
+    if zone.is_none() {
+        f.add(&o.at("zone"), "there is no such zone");
+    }
+    let state = o.text("state", f).unwrap_or("up");
+    if state != "up" && state != "leaving" {
+        f.add(&o.at("state"), "must be \"up\" or \"leaving\"");
+    }
+    let zone = zone?;
+    Some(Worker {
+        name: name.to_string(),
+        addr: addr?,
+        group: group.to_string(),
+        zone,
+        region: site.region_of_zone(zone)?,
+        leaving: state == "leaving",
+    })
+}
+
+/// A worker's own report; it must name itself as the roster does.
+pub fn read_load(text: &[u8], name: &str) -> Result<Load, String> {
+    let v = js::parse(text, MOST)?;
+    let mut f = Faults::default();
+    let keys = [
+        "worker", "running", "queued", "slots", "finished", "adapters", "weights",
+    ];
+    let o = f
+        .object(&v, "", &keys)
+        .ok_or("load: must be an object".to_string())?;
+    let who = o.must_text("worker", &mut f).unwrap_or("");
+    if who != name {
+        f.add("worker", format!("is {who:?}, not {name:?}"));
+    }
+    let top = u64::from(u32::MAX);
+    let mut num = |k: &str| o.num(k, 0, top, &mut f).unwrap_or(0);
+    let (running, queued, slots) = (num("running"), num("queued"), num("slots"));
+    let finished = num("finished");
+    let adapters = o.texts("adapters", &mut f);
+    let weights = o.text("weights", &mut f).unwrap_or("").to_string();
+    let l = Load {
+        name: name.to_string(),
+        running: running as u32,
+        queued: queued as u32,
+        slots: slots as u32,
+        finished,
+        adapters: adapters.into_iter().map(str::to_string).collect(),
+        weights,
+        live: true,
+    };
+    Some(l).filter(|_| f.none()).ok_or(f.0.join("; "))
+}
--- /dev/null
+++ b/sorreldoor/src/wire.rs
@@ -0,0 +1,162 @@
+//! Frames between the site's own processes: a length, a protocol number, and
+//! the site's mark with one payload in ciborium.
+
+use crate::agree::{Member, Msg, Nid, Pid};
+use crate::record::{Cmd, Outcome, View};
+use crate::roster::{Loads, Roster};
+use serde::{Deserialize, Serialize};
+use std::sync::Arc;
+
+/// Raised when a frame changes in a way that an older node cannot read.
+pub const PROTO: u16 = 1;
+pub const MOST_FRAME: usize = 4 << 20;
+
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Hello {
+    pub id: Nid,
+    pub node: String,
+    pub core: bool,
+    pub region: u8,
+    pub zone: u16,
+    /// Where frames reach it, for cores; where errands do, for edges.
+    pub addr: String,
+    pub http: String,
+    /// For cores: whether it belongs to a founded site.
+    pub founded: bool,
+    /// Differs at every start of the process.
+    pub boot: u64,
+}
+
+/// A node as its session shows it to others.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Seat {
+    pub hello: Hello,
+    pub serial: u64,
+    pub permit: bool,
+    pub running: u32,
+}
+
+/// One core's sessions, under a serial of its own.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Sessions {
+    pub core: Nid,
+    pub boot: u64,
+    pub serial: u64,
+    pub seats: Vec<Seat>,
+}
+
+/// What a node has, one serial for each source; what is newer it is sent.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Have {
+    pub record: u64,
+    pub roster: u64,
+    pub loads: (u64, u64),
+    pub seats: u64,
+}
+
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct News {
+    pub record: Option<View>,
+    pub roster: Option<Arc<Roster>>,
+    pub loads: Option<Arc<Loads>>,
+    pub seats: Option<(u64, Vec<Seat>)>,
+    /// Where the cores are now, with their regions.
+    pub cores: Vec<(String, u8)>,
+}
+
+/// How an edge is doing, told with each renewal.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Doing {
+    pub serial: u64,
+    pub permit: bool,
+    pub running: u32,
+    /// First tries, retries and sheds since its start.
+    pub first: u64,
+    pub again: u64,
+    pub shed: u64,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Founding {
+    /// Sent by a blank core: the set it has promised to found with.
+    Promise { set: Vec<Member> },
+    /// Sent by a founded core to a blank one.
+    Founded { set: Vec<Member> },
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Payload {
+    Hello(Hello),
+    Agree(Msg),
+    Founding(Founding),
+    Sessions(Sessions),
+    Roster(Arc<Roster>),
+    Loads(Arc<Loads>),
+    Renew { no: u64, have: Have, doing: Doing },
+    Grant { no: u64, ok: bool, news: News },
+    Op { rid: u64, pid: Pid, cmd: Cmd },
+    OpFind { rid: u64, pid: Pid },
+    OpDone { rid: u64, outcome: OpOutcome },
+    Ping { no: u64 },
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum OpOutcome {
+    Got(Outcome),
+    Unknown,
+    NotTaken,
+    /// Nothing is kept under the id asked for.
+    Nothing,
+}
+
+#[derive(Debug, PartialEq, Eq)]
+pub enum Refused {
+    TooLong(usize),
+    Protocol(u16),
+    Site(String),
+    Unreadable,
+}
+
+impl std::fmt::Display for Refused {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Refused::TooLong(n) => write!(f, "frame of {n} bytes, {MOST_FRAME} at most"),
+            Refused::Protocol(p) => write!(f, "protocol {p}, this node speaks {PROTO}"),
+            Refused::Site(s) => write!(f, "from another site: {s:?}"),
+            Refused::Unreadable => write!(f, "frame cannot be decoded"),
+        }
+    }
+}
+
+pub fn pack(site: &str, p: &Payload) -> Vec<u8> {
+    let mut b = vec![0; 6];
+    // why: writing to memory fails only where serde itself is misused
+    ciborium::into_writer(&(site, p), &mut b).expect("plain data always encodes");
+    let n = (b.len() - 4) as u32;
+    b[..4].copy_from_slice(&n.to_le_bytes());
+    b[4..6].copy_from_slice(&PROTO.to_le_bytes());
+    b
+}
+
+/// Length of what follows the first four bytes, if it may be taken at all.
+pub fn length(head: [u8; 4]) -> Result<usize, Refused> {
+    let n = u32::from_le_bytes(head) as usize;
+    Some(n)
+        .filter(|n| (2..=MOST_FRAME).contains(n))
+        .ok_or(Refused::TooLong(n))
+}
+
+pub fn unpack(site: &str, b: &[u8]) -> Result<Payload, Refused> {
+    let p = b
+        .get(..2)
+        .and_then(|p| p.try_into().ok())
+        .map(u16::from_le_bytes)
+        .ok_or(Refused::Unreadable)?;
+    if p != PROTO {
+        return Err(Refused::Protocol(p));
+    }
+    // why: bounded depth, or a nested frame could exhaust the stack
+    let (s, p): (String, Payload) = ciborium::de::from_reader_with_recursion_limit(&b[2..], 64)
+        .map_err(|_| Refused::Unreadable)?;
+    Some(p).filter(|_| s == site).ok_or(Refused::Site(s))
+}
