--- a/rig/src/sim/mod.rs
+++ b/rig/src/sim/mod.rs
@@ -30,6 +30,8 @@
     Thaw(usize, u64),
 }
 
+type Filter = Box<dyn Fn(usize, usize, &Msg) -> bool>;
+
 pub struct Sim {
     pub now: Ms,
     pub rng: Rand,
@@ -44,15 +46,18 @@
     pub twice: u64,
     /// Pairs (from, to) whose messages are lost.
     pub cuts: BTreeSet<(usize, usize)>,
-    /// Lose the next `n` messages that the filter names.
-    pub drop_if: Option<fn(&Msg) -> bool>,
+    /// Messages that the filter names, by sender and receiver, are lost.
+    pub drop_if: Option<Filter>,
     pub sent: BTreeMap<&'static str, u64>,
-    pub far_sent: u64,
+    /// Messages that went between regions, by kind.
+    pub far_sent: BTreeMap<&'static str, u64>,
     pub trail: Rc<RefCell<Trail>>,
     pub ops: Vec<Op>,
     pub notes: Vec<(Ms, Nid, Note)>,
     queue: BTreeMap<(Ms, u64), What>,
     count: u64,
+    events: u64,
+    pub most_events: u64,
 }
 
 pub fn site(regions: usize) -> Arc<Site> {
@@ -88,12 +93,14 @@
             cuts: BTreeSet::new(),
             drop_if: None,
             sent: BTreeMap::new(),
-            far_sent: 0,
+            far_sent: BTreeMap::new(),
             trail: Rc::default(),
             ops: Vec::new(),
             notes: Vec::new(),
             queue: BTreeMap::new(),
             count: 0,
+            events: 0,
+            most_events: 1_000_000,
         };
         for (i, r) in shape.iter().enumerate() {
             let n = Node::founded(i, *r, &members, &s.site);
@@ -178,6 +185,9 @@
                 break;
             }
             self.now = self.now.max(at);
+            self.events += 1;
+            // why: reducers that only chatter at each other would never end
+            assert!(self.events < self.most_events, "too many events: chatter");
             if let Some((_, w)) = self.queue.pop_first() {
                 self.happen(w);
             }
@@ -264,10 +274,12 @@
             return;
         };
         let away = self.nodes[i].region != self.nodes[t].region;
-        self.far_sent += u64::from(away);
+        if away {
+            *self.far_sent.entry(kind(&msg)).or_default() += 1;
+        }
         let lost = self.cuts.contains(&(i, t))
             || self.rng.chance(self.loss)
-            || self.drop_if.is_some_and(|f| f(&msg));
+            || self.drop_if.as_ref().is_some_and(|f| f(i, t, &msg));
         if lost {
             return;
         }
@@ -280,6 +292,28 @@
         }
     }
 
+    /// Run until some core leads and has committed in its term.
+    pub fn settle(&mut self) -> usize {
+        let end = self.now + 5000;
+        self.run_until(end, |s| s.leader().is_some());
+        self.run_for(500);
+        self.leader().expect("a healthy core elects a leader")
+    }
+
+    /// Ask for a change at `at` and wait; how long it took, if it was taken.
+    pub fn timed(&mut self, at: usize, most: Ms) -> Option<Ms> {
+        let serial = self.top_serial();
+        let p = self.change(at, serial);
+        let (start, end) = (self.now, self.now + most);
+        self.run_until(end, |s| s.op(p).done != Done::Open);
+        self.op(p).took().then(|| self.op(p).end - start)
+    }
+
+    pub fn top_serial(&self) -> u64 {
+        let all = self.nodes.iter().filter_map(|n| n.record());
+        all.map(|r| r.serial()).max().unwrap_or(0)
+    }
+
     pub fn leader(&self) -> Option<usize> {
         let lead = |n: &Node| {
             n.agree
--- a/rig/tests/agree_sim.rs
+++ b/rig/tests/agree_sim.rs
@@ -8,6 +8,7 @@
     pace.broken = broken;
     pace.keep_log = 40;
     let mut s = Sim::new(seed, shape, pace);
+    s.most_events = 400_000;
     s.loss = seed % 7;
     s.twice = seed % 5;
     s.jitter = 1 + seed % 40;
@@ -54,3 +55,24 @@
 fn storms_three_by_two() {
     all(&[0, 0, 0, 1, 1, 1], 3000..3040);
 }
+
+/// Rules broken on purpose: the same storms must show each of them.
+#[test]
+fn the_checker_catches_every_broken_rule() {
+    let broken = [
+        Broken::NoAnchor,
+        Broken::AckEarly,
+        Broken::ReadUnproved,
+        Broken::VoteStale,
+    ];
+    for b in broken {
+        let caught = (0..400).find(|seed| {
+            let s = *seed;
+            let run = std::panic::catch_unwind(move || run(s, &[0, 0, 1], b));
+            // a reducer that panics or chatters for ever is caught as well
+            run.map_or(true, |w| !w.is_empty())
+        });
+        println!("{b:?} caught by seed {caught:?}");
+        assert!(caught.is_some(), "{b:?} was not caught");
+    }
+}
--- a/sorreldoor/src/agree/commit.rs
+++ b/sorreldoor/src/agree/commit.rs
@@ -270,10 +270,8 @@
 
     /// Every Tp: is there a region from which Ls would be clearly smaller?
     pub(super) fn judge(&mut self) {
-        if let Some((_, t)) = self.moving {
-            if self.now.saturating_sub(t) > self.pace.elect {
-                self.moving = None;
-            }
+        if let Some((id, t)) = self.moving {
+            self.hand_on(id, t);
             return;
         }
         if self.now < self.judge_at {
@@ -299,18 +297,26 @@
                 writes: l.writes / 2,
             };
         }
-        let last = self.log.last().idx;
         let lead = self
             .leads
             .get(&to.unwrap_or(here))
             .filter(|l| l.id != self.me && self.now.saturating_sub(l.seen) < self.pace.dead)
-            .map(|l| l.id)
-            .filter(|i| self.upto(*i) == last && self.commit == last);
+            .map(|l| l.id);
         if let Some(id) = lead {
-            // why: no entry is added while it moves, so the next leader's log
-            // is as new as any and every proposal is either in it or retried
+            // why: no entry is added from here on, so the next leader's log
+            // becomes as new as any, and what is proposed meanwhile is retried
             self.moving = Some((id, self.now));
             self.note(Note::Moving { to: id });
+            self.hand_on(id, self.now);
+        }
+    }
+
+    /// Hand over once the other's log is as long as this one's.
+    fn hand_on(&mut self, id: Nid, since: Ms) {
+        let last = self.log.last().idx;
+        if self.now.saturating_sub(since) > self.pace.elect * 2 {
+            self.moving = None;
+        } else if self.upto(id) == last && self.commit == last {
             let term = self.hard.term;
             self.send(id, Msg::MoveNow { term });
         }
--- a/sorreldoor/src/agree/replicate.rs
+++ b/sorreldoor/src/agree/replicate.rs
@@ -303,9 +303,13 @@
             row.round = row.round.max(h.round);
             row.next = row.next.max(row.upto + 1);
         }
-        if let Some(row) = hint.and_then(|_| self.rows.get_mut(&from)) {
-            row.next = (hint.unwrap_or(0) + 1).max(row.upto + 1);
-            self.send_append(from, false);
+        if let (Some(h), Some(row)) = (hint, self.rows.get_mut(&from)) {
+            // why: a node that says it lost what it acked must not make the two
+            // answer each other at once for ever; the next heartbeat tries again
+            if h >= row.upto {
+                row.next = h + 1;
+                self.send_append(from, false);
+            }
         }
         if self.role == Role::Lead {
             let r = quorum::region_of(self.log.members(), from);
