Bound answers to a node that lost what it acked; resend from what it holds

Cause: two reducers answered each other without end when a node rejected an append right after what it had acked (seen under the AckEarly mutant). Ruled out: loss and duplication alone.

--- a/sorreldoor/src/agree/node.rs
+++ b/sorreldoor/src/agree/node.rs
@@ -19,6 +19,8 @@
 pub struct Row {
     pub upto: u64,
     pub next: u64,
+    /// What the last append sent was to follow on.
+    pub probe: u64,
     pub round: u64,
     pub seen: Ms,
     pub sent: Ms,
--- a/sorreldoor/src/agree/replicate.rs
+++ b/sorreldoor/src/agree/replicate.rs
@@ -180,6 +180,7 @@
         let entries = self.log.range(next, upto);
         row.next = next + entries.len() as u64;
         row.sent = now;
+        row.probe = prev.idx;
         let commit = self.commit.min(upto);
         self.send(
             to,
@@ -304,10 +305,10 @@
             row.next = row.next.max(row.upto + 1);
         }
         if let (Some(h), Some(row)) = (hint, self.rows.get_mut(&from)) {
+            row.next = h.max(row.upto) + 1;
             // why: a node that says it lost what it acked must not make the two
             // answer each other at once for ever; the next heartbeat tries again
-            if h >= row.upto {
-                row.next = h + 1;
+            if row.probe != row.next - 1 || self.now.saturating_sub(row.sent) >= self.pace.resend {
                 self.send_append(from, false);
             }
         }
--- a/sorreldoor/tests/position.rs
+++ b/sorreldoor/tests/position.rs
@@ -53,7 +53,8 @@
 fn the_least_ls_wins_only_by_a_clear_margin() {
     let lat = lat();
     let all = [0, 1, 2];
-    let table: [(&str, &[(u64, u64)], u8, &[u8], Option<u8>); 5] = [
+    type Row<'a> = (&'a str, &'a [(u64, u64)], u8, &'a [u8], Option<u8>);
+    let table: [Row; 5] = [
         (
             "askers elsewhere",
             &[(0, 1), (50, 50), (0, 0)],
