--- a/rig/src/fleet.rs
+++ b/rig/src/fleet.rs
@@ -68,6 +68,7 @@
     pub platform: Platform,
     pub workers: Vec<Stand>,
     pub binary: PathBuf,
+    cores: usize,
 }
 
 /// Ports that the system gave, held until the children take them over.
@@ -94,14 +95,19 @@
 
 impl Fleet {
     pub fn start(root: &Path, shape: Shape) -> Fleet {
-        let mut f = task::block_on(Fleet::lay(root, shape));
+        Fleet::start_with(root, shape, 3)
+    }
+
+    /// With as many cores as there are zones, if that is not three.
+    pub fn start_with(root: &Path, shape: Shape, cores: usize) -> Fleet {
+        let mut f = task::block_on(Fleet::lay(root, shape, cores));
         for i in 0..f.nodes.len() {
             f.spawn(i);
         }
         f
     }
 
-    async fn lay(root: &Path, shape: Shape) -> Fleet {
+    async fn lay(root: &Path, shape: Shape, cores: usize) -> Fleet {
         std::fs::create_dir_all(root).expect("the fleet's folder can be made");
         let platform = Platform::start(None).await.expect("loopback can be bound");
         let mut workers = Vec::new();
@@ -142,6 +148,7 @@
             platform,
             workers,
             binary: binary(),
+            cores,
         };
         f.connect().await;
         drop(held);
@@ -178,6 +185,7 @@
             let _ = regions.insert(*r, zs);
         }
         let _ = v.insert("site", self.shape.site);
+        let _ = v.insert("cores", self.cores);
         let _ = v.insert("regions", regions);
         let _ = v.insert("node", n.name.as_str());
         let _ = v.insert("zone", n.zone.as_str());
--- a/rig/src/site/procs.rs
+++ b/rig/src/site/procs.rs
@@ -9,6 +9,7 @@
 use sorreldoor::net::NetEvent;
 use sorreldoor::pull::Pull;
 use sorreldoor::record::Cmd;
+use sorreldoor::seam::{Now, Reducer};
 use sorreldoor::wire::{Hello, OpOutcome};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -210,6 +211,13 @@
         self.now as i64 + self.procs[p].wall
     }
 
+    fn clocks(&self, p: usize) -> Now {
+        Now {
+            mono: self.mono(p),
+            wall: self.wall(p),
+        }
+    }
+
     /// Hand something to a process: never to another life of it, and to a
     /// frozen one when it wakes.
     pub(crate) fn reach_proc(&mut self, p: usize, boot: u64, f: impl FnOnce(&mut World) + 'static) {
@@ -248,7 +256,7 @@
     }
 
     pub fn hub_step(&mut self, p: usize, ev: HubEvent) {
-        let now = self.mono(p);
+        let now = self.clocks(p);
         let Role::Core(h) = &mut self.procs[p].role else {
             return;
         };
@@ -319,11 +327,11 @@
     }
 
     pub fn hall_step(&mut self, p: usize, ev: HallEvent) {
-        let (now, wall) = (self.mono(p), self.wall(p));
+        let now = self.clocks(p);
         let Role::Edge(h) = &mut self.procs[p].role else {
             return;
         };
-        let fx = h.step(ev, now, wall);
+        let fx = h.step(ev, now);
         let boot = self.procs[p].boot;
         for f in fx {
             match f {
--- a/sorreldoor/src/core/hub.rs
+++ b/sorreldoor/src/core/hub.rs
@@ -6,6 +6,7 @@
 use crate::net::{Conn, NetEvent};
 use crate::record::{encode, Cmd, Record};
 use crate::roster::{Loads, Roster};
+use crate::seam::{Now, Reducer};
 use crate::setup::Site;
 use crate::wire::*;
 use std::collections::{BTreeMap, BTreeSet};
@@ -54,6 +55,33 @@
     pub(super) out: Vec<HubFx>,
 }
 
+impl Reducer for Hub {
+    type Event = HubEvent;
+    type Fx = HubFx;
+
+    fn step(&mut self, ev: HubEvent, now: Now) -> Vec<HubFx> {
+        self.now = self.now.max(now.mono);
+        match ev {
+            HubEvent::Alarm => self.alarm(),
+            HubEvent::Net(n) => self.net(n),
+            HubEvent::Saved(seq) => self.agreed(Event::Saved { seq }),
+            HubEvent::SaveFailed(why) => {
+                self.say(Ev::DiskFailed, why);
+                self.agreed(Event::SaveFailed);
+            }
+            HubEvent::Change { rid, pid, cmd } => self.change(OpFrom::Http(rid), pid, cmd),
+            HubEvent::Reform { rid, pid, drop } => self.reform(rid, pid, drop),
+            HubEvent::Look { rid } => self.wants.push(Want::Http(rid)),
+            HubEvent::Find { rid, pid } => self.wants.push(Want::Find(OpFrom::Http(rid), pid)),
+            HubEvent::Roster(r) => self.on_roster(r),
+            HubEvent::Loads { epoch, rows } => self.on_loads(epoch, rows),
+            HubEvent::Stop => self.leaving = true,
+        }
+        self.start_read();
+        std::mem::take(&mut self.out)
+    }
+}
+
 impl Hub {
     pub fn new(s: Start, kept: Option<Kept>, now: Ms) -> Hub {
         let mut h = Hub {
@@ -102,28 +130,6 @@
         h
     }
 
-    pub fn step(&mut self, ev: HubEvent, now: Ms) -> Vec<HubFx> {
-        self.now = self.now.max(now);
-        match ev {
-            HubEvent::Alarm => self.alarm(),
-            HubEvent::Net(n) => self.net(n),
-            HubEvent::Saved(seq) => self.agreed(Event::Saved { seq }),
-            HubEvent::SaveFailed(why) => {
-                self.say(Ev::DiskFailed, why);
-                self.agreed(Event::SaveFailed);
-            }
-            HubEvent::Change { rid, pid, cmd } => self.change(OpFrom::Http(rid), pid, cmd),
-            HubEvent::Reform { rid, pid, drop } => self.reform(rid, pid, drop),
-            HubEvent::Look { rid } => self.wants.push(Want::Http(rid)),
-            HubEvent::Find { rid, pid } => self.wants.push(Want::Find(OpFrom::Http(rid), pid)),
-            HubEvent::Roster(r) => self.on_roster(r),
-            HubEvent::Loads { epoch, rows } => self.on_loads(epoch, rows),
-            HubEvent::Stop => self.leaving = true,
-        }
-        self.start_read();
-        std::mem::take(&mut self.out)
-    }
-
     pub(super) fn say(&mut self, ev: Ev, about: impl Into<String>) {
         self.out.push(HubFx::Say(ev, about.into()));
     }
--- a/sorreldoor/src/core/run.rs
+++ b/sorreldoor/src/core/run.rs
@@ -3,12 +3,13 @@
 use super::api::Api;
 use super::events::{HubEvent, HubFx, Start};
 use super::hub::Hub;
-use crate::agree::{Member, Ms, Pace, Save};
+use crate::agree::{Member, Pace, Save};
 use crate::events::{say, Ev};
 use crate::http::{self, Call};
 use crate::net::{Net, NetEvent, Ring};
 use crate::record::{decode, encode, View};
 use crate::roster::{self, Load};
+use crate::seam::{self, Hand, Now, Reducer};
 use crate::settings::Settings;
 use crate::store::{keep_file, read_file, Opened, Store, WalStore};
 use crate::wire::{Hello, OpOutcome};
@@ -151,16 +152,16 @@
         task::spawn(watch_platform(set.clone(), p, ring.clone()));
     }
     let saves = store_thread(store, ring.clone());
-    Daemon {
-        hub,
+    let mut hub = hub;
+    let mut hand = Daemon {
         net,
         set,
         answers,
         saves,
         ring,
-        began: Instant::now(),
-    }
-    .turn(rx);
+        stop_at: None,
+    };
+    seam::turn(&mut hub, &seam::Machine::default(), &mut hand, &rx);
     say(Ev::Stopped, "core");
     Ok(())
 }
@@ -244,46 +245,39 @@
 }
 
 struct Daemon {
-    hub: Hub,
     net: Net<HubEvent>,
     set: Arc<Settings>,
     answers: Answers,
     saves: Sender<(u64, Save)>,
     ring: Ring<HubEvent>,
-    began: Instant,
+    stop_at: Option<Instant>,
 }
 
-impl Daemon {
-    fn turn(&mut self, rx: Receiver<HubEvent>) {
-        let mut stop_at: Option<Instant> = None;
-        while let Ok(ev) = rx.recv_blocking() {
-            if matches!(ev, HubEvent::Stop) && stop_at.is_none() {
-                say(Ev::Leaving, "core");
-                // why: what was just acked should still reach the others
-                stop_at = Some(Instant::now() + Duration::from_millis(300));
-            }
-            let now = self.began.elapsed().as_millis() as Ms;
-            for fx in self.hub.step(ev, now) {
-                self.carry_out(fx);
-            }
-            if stop_at.is_some_and(|t| Instant::now() >= t) {
-                return;
-            }
+impl Hand<Hub> for Daemon {
+    fn goes_on(&mut self, hub: &Hub) -> bool {
+        if hub.leaving && self.stop_at.is_none() {
+            say(Ev::Leaving, "core");
+            // why: what was just acked should still reach the others
+            self.stop_at = Some(Instant::now() + Duration::from_millis(300));
         }
+        self.stop_at.is_none_or(|t| Instant::now() < t)
     }
 
-    fn carry_out(&mut self, fx: HubFx) {
+    fn carry(&mut self, hub: &mut Hub, fx: HubFx) {
         match fx {
             HubFx::Save(seq, save) => {
                 // why: a full ring means a stuck disk, and a lost save must
                 // never look like a kept one
                 if self.saves.try_send((seq, save)).is_err() {
-                    let now = self.began.elapsed().as_millis() as Ms;
                     let ev = HubEvent::SaveFailed("the ring to the store is full".into());
-                    let more = self.hub.step(ev, now);
+                    let at = Now {
+                        mono: hub.now,
+                        wall: 0,
+                    };
+                    let more = hub.step(ev, at);
                     more.into_iter()
                         .filter(|f| !matches!(f, HubFx::Save(..)))
-                        .for_each(|f| self.carry_out(f));
+                        .for_each(|f| self.carry(hub, f));
                 }
             }
             HubFx::Keep(name, b) => {
@@ -302,10 +296,10 @@
             HubFx::Done(rid, o) => self.answers.give(rid, Reply::Done(o)),
             HubFx::Looked(rid, ok) => {
                 use simd_json::prelude::*;
-                let a = self.hub.agree.as_ref();
+                let a = hub.agree.as_ref();
                 let r = Reply::Looked {
                     ok,
-                    status: self.hub.status().encode(),
+                    status: hub.status().encode(),
                     view: Box::new(a.map(|a| a.machine().view()).unwrap_or_default()),
                 };
                 self.answers.give(rid, r);
--- a/sorreldoor/src/ctl/mod.rs
+++ b/sorreldoor/src/ctl/mod.rs
@@ -60,11 +60,15 @@
 #[derive(Debug, Options)]
 struct Bare {
     help: bool,
+    #[options(no_short, help = "print the node's JSON as it came")]
+    json: bool,
 }
 
 #[derive(Debug, Options)]
 struct File {
     help: bool,
+    #[options(no_short, help = "print the node's JSON as it came")]
+    json: bool,
     #[options(free)]
     file: String,
     #[options(help = "serial this builds on", meta = "N")]
@@ -76,6 +80,8 @@
 #[derive(Debug, Options)]
 struct Zone {
     help: bool,
+    #[options(no_short, help = "print the node's JSON as it came")]
+    json: bool,
     #[options(free)]
     zone: String,
     #[options(help = "serial this builds on", meta = "N")]
@@ -87,6 +93,8 @@
 #[derive(Debug, Options)]
 struct One {
     help: bool,
+    #[options(no_short, help = "print the node's JSON as it came")]
+    json: bool,
     #[options(free)]
     id: String,
 }
@@ -109,10 +117,18 @@
     if at.is_empty() {
         return usage("--at: name at least one node");
     }
-    let c = Ctl { at, json: a.json };
     let Some(what) = a.what else {
         return usage("say what to do; see --help");
     };
+    // why: people write the flag before or after what they ask for
+    let json = a.json
+        || match &what {
+            What::Get(b) | What::Status(b) => b.json,
+            What::Put(f) | What::Edit(f) | What::Check(f) | What::Diff(f) => f.json,
+            What::Evacuate(z) | What::Drain(z) | What::Return(z) => z.json,
+            What::Ask(o) | What::DropCore(o) => o.json,
+        };
+    let c = Ctl { at, json };
     match what {
         What::Get(_) => c.read("/v1/setup", show::setup),
         What::Status(_) => c.read("/v1/status", show::status),
--- a/sorreldoor/src/edge/hall.rs
+++ b/sorreldoor/src/edge/hall.rs
@@ -8,6 +8,7 @@
 use crate::problem::Problem;
 use crate::pull::{Pull, PullFx};
 use crate::record::Cmd;
+use crate::seam::{Now, Reducer};
 use crate::setup::Kind;
 use crate::wire::*;
 use simd_json::prelude::*;
@@ -93,26 +94,15 @@
     pub(super) out: Vec<HallFx>,
 }
 
-impl Hall {
-    pub fn new(me: Hello, plan: Plan, pull: Pull) -> Hall {
-        Hall {
-            me,
-            plan,
-            table: Table::default(),
-            pull,
-            looks: Vec::new(),
-            changes: BTreeMap::new(),
-            leaving: false,
-            now: 0,
-            out: Vec::new(),
-        }
-    }
+impl Reducer for Hall {
+    type Event = HallEvent;
+    type Fx = HallFx;
 
-    pub fn step(&mut self, ev: HallEvent, now: Ms, wall: i64) -> Vec<HallFx> {
-        self.now = self.now.max(now);
+    fn step(&mut self, ev: HallEvent, at: Now) -> Vec<HallFx> {
+        self.now = self.now.max(at.mono);
         let now = self.now;
         // why: what woke it may come before any alarm, and must find it shut
-        if let Some(f) = self.pull.awake(now, wall) {
+        if let Some(f) = self.pull.awake(now, at.wall) {
             self.pulled(f);
         }
         match ev {
@@ -155,6 +145,22 @@
         }
         std::mem::take(&mut self.out)
     }
+}
+
+impl Hall {
+    pub fn new(me: Hello, plan: Plan, pull: Pull) -> Hall {
+        Hall {
+            me,
+            plan,
+            table: Table::default(),
+            pull,
+            looks: Vec::new(),
+            changes: BTreeMap::new(),
+            leaving: false,
+            now: 0,
+            out: Vec::new(),
+        }
+    }
 
     pub(super) fn say(&mut self, ev: Ev, about: impl Into<String>) {
         self.out.push(HallFx::Say(ev, about.into()));
--- a/sorreldoor/src/edge/run.rs
+++ b/sorreldoor/src/edge/run.rs
@@ -3,7 +3,6 @@
 use super::api::Api;
 use super::hall::{Hall, HallEvent, HallFx, Shape};
 use super::relay::{Brought, Load, Task, Word};
-use crate::agree::Ms;
 use crate::errand::{ErrandFx, Plan};
 use crate::events::{say, Ev};
 use crate::http;
@@ -11,6 +10,7 @@
 use crate::problem::Problem;
 use crate::pull::Pull;
 use crate::record::View;
+use crate::seam::{self, Clock, Hand};
 use crate::settings::Settings;
 use crate::wire::{Hello, OpOutcome};
 use async_std::channel::{bounded, Receiver, Sender};
@@ -20,7 +20,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant};
 
 const RING: usize = 8192;
 const TICK: Duration = Duration::from_millis(20);
@@ -82,14 +82,9 @@
     }
 }
 
-fn wall() -> i64 {
-    SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .map_or(0, |d| d.as_millis() as i64)
-}
-
 pub fn run(set: Settings) -> Result<(), String> {
     let set = Arc::new(set);
+    let clock = seam::Machine::default();
     let (ring, rx) = bounded(RING);
     let web = task::block_on(TcpListener::bind(set.http))
         .map_err(|e| format!("http: cannot bind {}: {e}", set.http))?;
@@ -105,7 +100,7 @@
         boot: crate::ops::fresh(),
     };
     let plan = Plan::new(set.names.clone(), set.node.clone(), set.zone, set.region);
-    let pull = Pull::new(&set.seeds, set.permit_ms, 0, wall());
+    let pull = Pull::new(&set.seeds, set.permit_ms, 0, clock.now().wall);
     let desk = Desk::default();
     let api = Api {
         set: set.clone(),
@@ -125,16 +120,18 @@
     say(Ev::Listening, format!("http {}", set.http));
     crate::run::ticker(ring.clone(), TICK, || HallEvent::Alarm);
     crate::run::on_term(ring.clone(), || HallEvent::Stop)?;
-    Daemon {
-        hall: Hall::new(me, plan, pull),
+    let mut hall = Hall::new(me, plan, pull);
+    let mut hand = Daemon {
         net,
         set,
         desk,
         ring,
         tasks: HashMap::new(),
-        began: Instant::now(),
-    }
-    .turn(rx);
+        stop_at: None,
+    };
+    seam::turn(&mut hall, &clock, &mut hand, &rx);
+    // why: the last results are still on their way to their callers
+    std::thread::sleep(Duration::from_millis(100));
     say(Ev::Stopped, "edge");
     Ok(())
 }
@@ -145,38 +142,26 @@
 }
 
 struct Daemon {
-    hall: Hall,
     net: Net<HallEvent>,
     set: Arc<Settings>,
     desk: Desk,
     ring: Ring<HallEvent>,
     tasks: HashMap<u64, Running>,
-    began: Instant,
+    stop_at: Option<Instant>,
 }
 
-impl Daemon {
-    fn turn(&mut self, rx: Receiver<HallEvent>) {
-        let mut stop_at: Option<Instant> = None;
-        while let Ok(ev) = rx.recv_blocking() {
-            let stops = matches!(ev, HallEvent::Stop);
-            if stops && stop_at.is_none() {
-                stop_at = Some(Instant::now() + Duration::from_millis(self.set.drain_ms));
-            }
-            let now = self.began.elapsed().as_millis() as Ms;
-            for fx in self.hall.step(ev, now, wall()) {
-                self.carry_out(fx);
-            }
-            self.tasks.retain(|_, t| !t.words.is_closed());
-            // why: what runs is finished, up to the cutoff the settings give
-            if stop_at.is_some_and(|t| self.hall.idle() || Instant::now() >= t) {
-                // the last results are on their way to their callers
-                std::thread::sleep(Duration::from_millis(100));
-                return;
-            }
+impl Hand<Hall> for Daemon {
+    fn goes_on(&mut self, hall: &Hall) -> bool {
+        self.tasks.retain(|_, t| !t.words.is_closed());
+        if hall.leaving && self.stop_at.is_none() {
+            self.stop_at = Some(Instant::now() + Duration::from_millis(self.set.drain_ms));
         }
+        // why: what runs is finished, up to the cutoff the settings give
+        self.stop_at
+            .is_none_or(|t| !hall.idle() && Instant::now() < t)
     }
 
-    fn carry_out(&mut self, fx: HallFx) {
+    fn carry(&mut self, hall: &mut Hall, fx: HallFx) {
         match fx {
             HallFx::Send(c, p) => {
                 self.net.send(c, &p);
@@ -187,18 +172,20 @@
             HallFx::Where(rid, r) => self.desk.give(rid, Reply::Where(r)),
             HallFx::Done(rid, o) => self.desk.give(rid, Reply::Done(o)),
             HallFx::Looked(rid, ok) => {
-                let v = Box::new(self.hall.plan.shown.view.clone());
+                let v = Box::new(hall.plan.shown.view.clone());
                 self.desk.give(rid, Reply::Looked(ok, v));
             }
             HallFx::Status(rid, text) => {
-                let ready = self.hall.ready();
+                let ready = hall.ready();
                 self.desk.give(rid, Reply::Status { text, ready });
             }
             HallFx::Say(ev, about) => say(ev, about),
             HallFx::Errand(f) => self.errand(f),
         }
     }
+}
 
+impl Daemon {
     fn errand(&mut self, f: ErrandFx) {
         match f {
             ErrandFx::Open {
--- a/sorreldoor/src/http.rs
+++ b/sorreldoor/src/http.rs
@@ -15,6 +15,7 @@
 use std::time::Duration;
 
 pub const HEAD: Duration = Duration::from_secs(10);
+const LINGER: Duration = Duration::from_millis(500);
 pub const IDLE: Duration = Duration::from_secs(60);
 
 pub fn json(status: u16, text: String) -> Response {
@@ -134,7 +135,18 @@
         let endpoint = |req| {
             seen.store(true, Ordering::SeqCst);
             let r = f(req, Peer(s.clone()));
-            async move { Ok(r.await) }
+            let line = s.clone();
+            async move {
+                let r: Response = r.await;
+                // why: async-h1 would go on to read a body that does not end
+                if matches!(u16::from(r.status()), 408 | 413) {
+                    task::spawn(async move {
+                        task::sleep(LINGER).await;
+                        let _ = line.shutdown(std::net::Shutdown::Both);
+                    });
+                }
+                Ok(r)
+            }
         };
         let late = task::spawn(cut_late(s.clone(), begun.clone()));
         let got = async_h1::server::Server::new(s.clone(), endpoint)
--- a/sorreldoor/src/lib.rs
+++ b/sorreldoor/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod record;
 pub mod roster;
 mod run;
+pub mod seam;
 pub mod settings;
 pub mod setup;
 pub mod store;
--- /dev/null
+++ b/sorreldoor/src/seam.rs
@@ -0,0 +1,70 @@
+//! The seams at which the daemons and the simulator meet: a reducer that only
+//! computes, a clock that only tells, and a hand that only carries out.
+
+use async_std::channel::Receiver;
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
+
+/// What time it is, to one process: its own monotonic clock and the wall's.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Now {
+    pub mono: u64,
+    pub wall: i64,
+}
+
+pub trait Clock {
+    fn now(&self) -> Now;
+}
+
+/// All of a duty's state, moved on by one event at a time.
+pub trait Reducer {
+    type Event;
+    type Fx;
+    fn step(&mut self, ev: Self::Event, now: Now) -> Vec<Self::Fx>;
+}
+
+/// Carries out what a reducer asks for; false ends the duty.
+pub trait Hand<R: Reducer> {
+    fn carry(&mut self, r: &mut R, fx: R::Fx);
+    fn goes_on(&mut self, r: &R) -> bool;
+}
+
+/// The machine's clocks, in milliseconds.
+pub struct Machine {
+    began: Instant,
+}
+
+impl Default for Machine {
+    fn default() -> Machine {
+        Machine {
+            began: Instant::now(),
+        }
+    }
+}
+
+impl Clock for Machine {
+    fn now(&self) -> Now {
+        Now {
+            mono: self.began.elapsed().as_millis() as u64,
+            wall: SystemTime::now()
+                .duration_since(UNIX_EPOCH)
+                .map_or(0, |d| d.as_millis() as i64),
+        }
+    }
+}
+
+/// A duty's thread: events from its ring through the reducer to the hand.
+pub fn turn<R, C, H>(r: &mut R, clock: &C, hand: &mut H, ring: &Receiver<R::Event>)
+where
+    R: Reducer,
+    C: Clock,
+    H: Hand<R>,
+{
+    while let Ok(ev) = ring.recv_blocking() {
+        for fx in r.step(ev, clock.now()) {
+            hand.carry(r, fx);
+        }
+        if !hand.goes_on(r) {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/sorreldoor/tests/settings.rs
@@ -0,0 +1,182 @@
+//! Settings and setups: every fault has its exact words, and a path.
+
+use sorreldoor::settings::{Over, Role, Settings};
+use sorreldoor::setup::{read, Site};
+
+fn faults(text: &str) -> Vec<String> {
+    Settings::read(text.as_bytes(), &Over::default(), Role::Edge)
+        .err()
+        .unwrap_or_default()
+}
+
+const GOOD: &str = r#"{"site":"s","regions":{"a":["a1","a2"],"b":["b1"]},"node":"n",
+  "zone":"a1","http":"127.0.0.1:80","seeds":["127.0.0.1:1","127.0.0.1:2"]}"#;
+
+fn with(from: &str, to: &str) -> String {
+    assert!(GOOD.contains(from));
+    GOOD.replace(from, to)
+}
+
+#[test]
+fn each_fault_of_a_settings_file_has_its_words() {
+    assert_eq!(faults(GOOD), Vec::<String>::new());
+    let table = [
+        (
+            with(r#""node":"n""#, r#""node":"n","nod":1"#),
+            "nod: unknown field",
+        ),
+        (with(r#""zone":"a1","#, ""), "zone: is missing"),
+        (
+            with(r#""zone":"a1""#, r#""zone":"x9""#),
+            "zone: \"x9\" is in no region",
+        ),
+        (
+            with("127.0.0.1:80", "localhost:80"),
+            "http: \"localhost:80\" is not IP:PORT",
+        ),
+        (
+            with("127.0.0.1:2", "127.0.0.1:1"),
+            "seeds[1]: \"127.0.0.1:1\" is named twice",
+        ),
+        (
+            with("127.0.0.1:2", "nowhere"),
+            "seeds[1]: \"nowhere\" is not IP:PORT",
+        ),
+        (
+            with(r#"["b1"]"#, r#"["a1"]"#),
+            "regions.b: zone \"a1\" is named twice",
+        ),
+        (
+            with(r#""node":"n""#, r#""node":"n","ack_ms":5"#),
+            "ack_ms: must be a whole number from 200 to 60000",
+        ),
+        (
+            with(r#""node":"n""#, r#""node":"n","node":"m""#),
+            "settings: has the key \"node\" twice",
+        ),
+        (
+            with(r#""node":"n""#, r#""node":"n","listen":"127.0.0.1:80""#),
+            "http: is the same address as listen",
+        ),
+    ];
+    for (text, want) in table {
+        assert_eq!(faults(&text), vec![want.to_string()], "{text}");
+    }
+}
+
+#[test]
+fn a_data_folder_must_be_writable() {
+    let text = with(
+        r#""node":"n""#,
+        r#""node":"n","listen":"127.0.0.1:81","data":"/proc/none""#,
+    );
+    let f = Settings::read(text.as_bytes(), &Over::default(), Role::Core)
+        .err()
+        .unwrap_or_default();
+    assert_eq!(f.len(), 1);
+    assert!(
+        f[0].starts_with("data: /proc/none is not writable:"),
+        "{f:?}"
+    );
+}
+
+fn site() -> Site {
+    Site {
+        regions: vec!["a".into(), "b".into()],
+        zones: vec![("a1".into(), 0), ("b1".into(), 1)],
+    }
+}
+
+const SETUP: &str = r#"{"groups":{"g":{"kind":"model","slots":4},"w":{"kind":"web"}},
+ "services":{"s":{"groups":["g"]},"t":{"groups":["g"]},"p":{"groups":["w"]}},
+ "routes":{"r":{"kind":"prefix","shares":{"s":{"weight":50,"least":20,"most":80},"t":{"weight":50}}},
+           "q":{"kind":"fetch","repeatable":true,"shares":{"p":{"weight":1}}}},
+ "spill":{"a":{"b":30}},"retry":{"percent":15}}"#;
+
+#[test]
+fn each_fault_of_a_setup_is_listed_under_its_path() {
+    assert!(read(SETUP.as_bytes(), &site()).is_ok());
+    let table = [
+        (
+            r#""slots":4"#,
+            r#""slots":4,"slot":1"#,
+            "groups.g.slot: unknown field",
+        ),
+        (
+            r#""slots":4"#,
+            r#""slots":0"#,
+            "groups.g.slots: must be a whole number from 1 to 1024",
+        ),
+        (
+            r#""kind":"web""#,
+            r#""kind":"disk""#,
+            "groups.w.kind: must be \"model\" or \"web\"",
+        ),
+        (
+            r#""t":{"groups":["g"]}"#,
+            r#""t":{"groups":["h"]}"#,
+            "services.t.groups: there is no group \"h\"",
+        ),
+        (
+            r#""t":{"weight":50}"#,
+            r#""u":{"weight":50}"#,
+            "routes.r.shares.u: there is no such service",
+        ),
+        (
+            r#""weight":50,"least":20"#,
+            r#""weight":10,"least":20"#,
+            "routes.r.shares.s.weight: must lie within least and most",
+        ),
+        (
+            r#""p":{"weight":1}"#,
+            r#""s":{"weight":1}"#,
+            "routes.q.shares.s: its groups are of the wrong kind for this route",
+        ),
+        (
+            r#""p":{"weight":1}"#,
+            r#""p":{"weight":0}"#,
+            "routes.q.shares: must give some service a weight above 0",
+        ),
+        (
+            r#""a":{"b":30}"#,
+            r#""a":{"a":30}"#,
+            "spill.a.a: a region does not spill to itself",
+        ),
+        (
+            r#""a":{"b":30}"#,
+            r#""c":{"b":30}"#,
+            "spill.c: there is no such region",
+        ),
+        (
+            r#""percent":15"#,
+            r#""percent":40"#,
+            "retry.percent: must be a whole number from 0 to 20",
+        ),
+        (
+            r#""percent":15"#,
+            r#""percent":15,"percent":16"#,
+            "setup: has the key \"percent\" twice",
+        ),
+    ];
+    for (from, to, want) in table {
+        assert!(SETUP.contains(from), "{from}");
+        let f = read(SETUP.replacen(from, to, 1).as_bytes(), &site()).err();
+        assert_eq!(f, Some(vec![want.to_string()]), "{to}");
+    }
+    let deep = format!("{}1{}", "[".repeat(40), "]".repeat(40));
+    let f = read(deep.as_bytes(), &site()).err();
+    assert_eq!(f, Some(vec!["setup: is nested deeper than 16".to_string()]));
+    let big = format!("{{\"x\":\"{}\"}}", "y".repeat(300 * 1024));
+    let f = read(big.as_bytes(), &site()).err();
+    assert_eq!(
+        f,
+        Some(vec!["setup: is larger than 262144 bytes".to_string()])
+    );
+    let two = SETUP
+        .replace(r#""slots":4"#, r#""slots":0"#)
+        .replace(r#""percent":15"#, r#""percent":99"#);
+    assert_eq!(
+        read(two.as_bytes(), &site()).err().map(|f| f.len()),
+        Some(2)
+    );
+}
