--- a/rig/src/feed.rs
+++ b/rig/src/feed.rs
@@ -1,7 +1,8 @@
 //! A response body from pieces that come one by one.
 
-use async_std::channel::Receiver;
+use async_std::channel::{bounded, Receiver};
 use async_std::io;
+use http_types::{Body, Response, StatusCode};
 use std::pin::Pin;
 use std::task::{Context, Poll};
 
@@ -70,3 +71,17 @@
         Poll::Ready(Ok(n))
     }
 }
+
+/// A chunked body that breaks off after what is given.
+pub fn broken(id: String, first: Vec<u8>) -> Response {
+    let (tx, rx) = bounded::<Vec<u8>>(1);
+    if !first.is_empty() {
+        let _ = tx.try_send(first);
+    }
+    drop(tx);
+    let mut r = Response::new(StatusCode::Ok);
+    r.set_body(Body::from_reader(Feed::new(rx, true), None));
+    r.insert_header("x-errand-id", id);
+    r.insert_header("content-type", "application/x-ndjson");
+    r
+}
--- a/rig/src/site/mod.rs
+++ b/rig/src/site/mod.rs
@@ -5,6 +5,7 @@
 mod check;
 mod faults;
 mod net;
+mod operators;
 mod procs;
 mod workers;
 
--- /dev/null
+++ b/rig/src/site/operators.rs
@@ -0,0 +1,55 @@
+//! Operators in virtual time: changes at any process, and what they heard.
+
+use super::{Change, World};
+use sorreldoor::core::HubEvent;
+use sorreldoor::edge::HallEvent;
+use sorreldoor::record::Cmd;
+use sorreldoor::wire::OpOutcome;
+
+impl World {
+    /// Ask for a change at a process; its place in `changes`.
+    pub fn change(&mut self, p: usize, cmd: Cmd) -> usize {
+        let rid = self.number();
+        let pid = u128::from(rid) + (1 << 80);
+        let (base, zone) = match &cmd {
+            Cmd::Put { base, .. } | Cmd::Edit { base, .. } => (*base, None),
+            Cmd::Zone {
+                base,
+                zone,
+                emptied,
+            } => (*base, Some((*zone, *emptied))),
+            _ => (0, None),
+        };
+        let (start, end) = (self.now, 0);
+        self.changes.push(Change {
+            rid,
+            proc: p,
+            start,
+            end,
+            base,
+            zone,
+            outcome: None,
+        });
+        let at = self.changes.len() - 1;
+        let boot = self.procs[p].boot;
+        let core = self.procs[p].core;
+        self.reach_proc(p, boot, move |w| {
+            if core {
+                w.hub_step(p, HubEvent::Change { rid, pid, cmd });
+            } else {
+                w.hall_step(p, HallEvent::Change { rid, pid, cmd });
+            }
+        });
+        at
+    }
+
+    pub(crate) fn changed(&mut self, rid: u64, o: OpOutcome) {
+        let now = self.now;
+        if let Some(c) = self.changes.iter_mut().find(|c| c.rid == rid) {
+            if c.outcome.is_none() {
+                c.outcome = Some(o);
+                c.end = now;
+            }
+        }
+    }
+}
--- a/rig/src/stand.rs
+++ b/rig/src/stand.rs
@@ -1,7 +1,7 @@
 //! Stand-in workers: model servers with prefill, decode, slots and a prefix
 //! cache, and plain web workers. They log every execution by errand id.
 
-use crate::feed::Feed;
+use crate::feed::{broken, Feed};
 use async_std::channel::{bounded, Receiver, Sender};
 use async_std::io::{self, Cursor};
 use async_std::net::TcpListener;
@@ -330,20 +330,6 @@
     at.is_some()
 }
 
-/// A chunked body that breaks off after what is given.
-fn broken(id: String, first: Vec<u8>) -> Response {
-    let (tx, rx) = bounded::<Vec<u8>>(1);
-    if !first.is_empty() {
-        let _ = tx.try_send(first);
-    }
-    drop(tx);
-    let mut r = Response::new(StatusCode::Ok);
-    r.set_body(Body::from_reader(Feed::new(rx, true), None));
-    r.insert_header("x-errand-id", id);
-    r.insert_header("content-type", "application/x-ndjson");
-    r
-}
-
 fn stream(w: Arc<Inner>, seat: Seat, id: String, named: String, n: u64, f: Fault) -> Response {
     let (tx, rx) = bounded(1);
     let gap = Duration::from_millis(w.make.decode_ms);
--- /dev/null
+++ b/rig/tests/conformance/answers.rs
@@ -0,0 +1,179 @@
+//! When entries are held, committed, answered and read.
+
+use super::*;
+use rig::sim::{kind, same, Done};
+use sorreldoor::agree::Msg;
+
+pub fn entries_cross_once_to_each_other_domain_leader() {
+    let (mut s, l) = led_from(&[0, 0, 0, 1, 1, 1], 0);
+    let before = s.sent.get("append").copied().unwrap_or(0);
+    let far = s.far_sent.get("append").copied().unwrap_or(0);
+    s.timed(l, 500).expect("taken");
+    // one append to the other Domain Leader, two in the own region, and two
+    // more that the other Domain Leader passes on
+    assert_eq!(s.sent["append"] - before, 5);
+    assert_eq!(s.far_sent["append"] - far, 1);
+}
+
+pub fn the_domain_leader_answers_after_one_round_trip() {
+    let (mut s, _) = led_from(&[0, 0, 1], 0);
+    s.jitter = 0;
+    let took = s.timed(2, 500).expect("taken");
+    assert!(
+        (60..=66).contains(&took),
+        "{took} ms for a round trip of 60"
+    );
+    assert!(s.sent["confirm"] > 0);
+}
+
+pub fn without_fast_return_it_takes_two() {
+    for fast in [true, false] {
+        let mut pace = Pace::for_ack(ACK);
+        pace.fast = fast;
+        for seed in 0..200 {
+            let mut s = Sim::new(seed, &[0, 0, 1], pace.clone());
+            s.jitter = 0;
+            let l = s.settle();
+            if s.nodes[l].region == 1 {
+                continue;
+            }
+            let away = s.timed(2, 900).expect("taken");
+            let home = s.timed(l, 900).expect("taken");
+            println!("fast return {fast}: other region {away} ms, own {home} ms");
+            let bound = if fast { 55..=70 } else { 115..=140 };
+            assert!(bound.contains(&away), "{away}");
+            assert!((55..=70).contains(&home), "{home}");
+            break;
+        }
+    }
+}
+
+pub fn the_commit_index_needs_another_region() {
+    let (mut s, l) = led_from(&[0, 0, 0, 1, 1, 1], 0);
+    let before = s.nodes[l].agree.as_ref().map_or(0, |a| a.commit_idx());
+    for i in 3..6 {
+        for j in 0..3 {
+            s.cut_both(i, j);
+        }
+    }
+    let p = s.change(l, s.top_serial());
+    s.run_for(200);
+    assert_eq!(s.op(p).done, Done::Open);
+    let after = s.nodes[l].agree.as_ref().map_or(0, |a| a.commit_idx());
+    assert_eq!(before, after);
+}
+
+pub fn a_read_sees_what_a_domain_leader_has_answered() {
+    let (mut s, l) = led_from(&[0, 0, 1], 0);
+    // message 6 is lost: the Global Leader does not hear that it is held
+    s.drop_if = Some(Box::new(|from, _, m| {
+        from == 2 && matches!(m, Msg::Holds { .. })
+    }));
+    s.timed(2, 500).expect("the Domain Leader answers");
+    let top = s.top_serial();
+    let r = s.read(l);
+    s.run_for(1000);
+    assert_eq!(s.op(r).done, Done::Saw(top));
+    sound(&s);
+}
+
+pub fn the_global_leader_answers_a_region_without_majority() {
+    let (mut s, _) = led_from(&[0, 0, 0, 1, 1, 1], 0);
+    s.crash(4);
+    s.crash(5);
+    s.run_for(1500);
+    let took = s.timed(3, ACK).expect("answered by the Global Leader");
+    assert!(took <= ACK / 2, "{took}");
+}
+
+/// The paper's messages 1 to 6, each lost for a while.
+pub fn a_lost_message_of_the_paper_is_survived() {
+    type F = fn(usize, usize, &Msg) -> bool;
+    let table: [(&str, F); 6] = [
+        ("1 proposal", |_, _, m| matches!(m, Msg::Propose { .. })),
+        ("2 entry to the other region", |_, t, m| {
+            t >= 3 && matches!(m, Msg::Append { .. })
+        }),
+        ("3 entry in the own region", |f, t, m| {
+            f < 3 && t < 3 && matches!(m, Msg::Append { .. })
+        }),
+        ("4 confirmation", |_, _, m| matches!(m, Msg::Confirm { .. })),
+        ("5 entry in the asker's region", |f, t, m| {
+            f >= 3 && t >= 3 && matches!(m, Msg::Append { .. })
+        }),
+        ("6 acknowledgement", |f, t, m| {
+            f >= 3 && t < 3 && matches!(m, Msg::Holds { .. })
+        }),
+    ];
+    for (name, f) in table {
+        let (mut s, _) = led_from(&[0, 0, 0, 1, 1, 1], 0);
+        s.drop_if = Some(Box::new(f));
+        let p = s.change(4, s.top_serial());
+        s.run_for(300);
+        s.drop_if = None;
+        s.run_for(ACK);
+        assert!(s.op(p).took(), "{name}: {:?}", s.op(p).done);
+        s.run_for(2000);
+        sound(&s);
+        assert!(same(&s).is_empty(), "{name}");
+    }
+}
+
+pub fn a_lost_confirmation_is_made_good_by_the_global_leader() {
+    let (mut s, _) = led_from(&[0, 0, 1], 0);
+    s.drop_if = Some(Box::new(|_, _, m| {
+        matches!(m, Msg::Confirm { .. }) || kind(m) == "beat"
+    }));
+    let took = s.timed(2, 1000).expect("answered");
+    assert!(took > 60, "{took}");
+    assert!(s.sent["answered"] > 0);
+}
+
+pub fn any_one_core_lost_is_acked_within_ack_ms() {
+    for shape in [[0, 0, 1], [0, 1, 1], [0, 0, 0]] {
+        for lost in 0..3 {
+            for seed in 0..10 {
+                let mut s = sim(seed, &shape);
+                s.settle();
+                s.crash(lost);
+                let at = (lost + 1) % 3;
+                let took = s.timed(at, ACK * 2);
+                let ok = took.is_some_and(|t| t <= ACK);
+                assert!(ok, "{shape:?} lost {lost} seed {seed}: {took:?}");
+                sound(&s);
+            }
+        }
+    }
+}
+
+pub fn a_deposed_leaders_late_confirmation_is_ignored() {
+    let (mut s, l) = led_from(&[0, 0, 1], 0);
+    let term = s.nodes[l].agree.as_ref().map_or(0, |a| a.term());
+    let old = s.nodes[l].id;
+    s.isolate(l);
+    s.run_for(3000);
+    let commit = s.nodes[2].agree.as_ref().map_or(0, |a| a.commit_idx());
+    let msg = Msg::Confirm {
+        term,
+        upto: commit + 50,
+        holders: vec![old, 2],
+    };
+    let ev = sorreldoor::agree::Event::Heard { from: old, msg };
+    s.give(2, ev);
+    let after = s.nodes[2].agree.as_ref().map_or(0, |a| a.commit_idx());
+    assert_eq!(commit, after);
+}
+
+pub fn a_retry_gets_the_first_answer() {
+    let (mut s, _) = led_from(&[0, 0, 1], 0);
+    let p = s.change(2, s.top_serial());
+    s.run_for(500);
+    assert!(s.op(p).took());
+    let top = s.top_serial();
+    for at in 0..3 {
+        s.again(at, p);
+        s.run_for(300);
+    }
+    s.run_for(500);
+    assert_eq!(s.top_serial(), top);
+}
--- /dev/null
+++ b/rig/tests/conformance/main.rs
@@ -0,0 +1,130 @@
+//! The design page, clause by clause, each held against the real reducers.
+
+mod answers;
+mod elections;
+
+use rig::sim::{check, Sim};
+use sorreldoor::agree::{Pace, Reg};
+
+pub const ACK: u64 = 2000;
+
+pub fn sim(seed: u64, shape: &[Reg]) -> Sim {
+    Sim::new(seed, shape, Pace::for_ack(ACK))
+}
+
+pub fn led_from(shape: &[Reg], region: Reg) -> (Sim, usize) {
+    for seed in 0..200 {
+        let mut s = sim(seed, shape);
+        let l = s.settle();
+        if s.nodes[l].region == region {
+            return (s, l);
+        }
+    }
+    panic!("no seed elects a leader in region {region}");
+}
+
+/// A core of `region` that is not the Global Leader.
+pub fn other(s: &Sim, region: Reg) -> usize {
+    let l = s.leader();
+    (0..s.nodes.len())
+        .find(|i| s.nodes[*i].region == region && Some(*i) != l)
+        .expect("the region has another core")
+}
+
+pub fn leads_domain(s: &Sim, i: usize) -> bool {
+    s.nodes[i].agree.as_ref().is_some_and(|a| a.leads_domain())
+}
+
+pub fn sound(s: &Sim) {
+    let w = check(s);
+    assert!(w.is_empty(), "{w:#?}");
+}
+
+#[test]
+fn the_design_holds_clause_by_clause() {
+    let table: &[(&str, fn())] = &[
+        (
+            "domain leader by in-region majority",
+            elections::a_domain_leader_needs_its_regions_majority,
+        ),
+        (
+            "global leader among domain leaders",
+            elections::the_global_leader_is_a_domain_leader,
+        ),
+        (
+            "entry to every domain leader",
+            answers::entries_cross_once_to_each_other_domain_leader,
+        ),
+        (
+            "domain leader answers on confirmation",
+            answers::the_domain_leader_answers_after_one_round_trip,
+        ),
+        (
+            "fast return against none",
+            answers::without_fast_return_it_takes_two,
+        ),
+        (
+            "commit needs one other region",
+            answers::the_commit_index_needs_another_region,
+        ),
+        (
+            "reads wait for the in-domain commit index",
+            answers::a_read_sees_what_a_domain_leader_has_answered,
+        ),
+        (
+            "N-1 domain leaders take part",
+            elections::an_election_needs_all_but_one_domain_leader,
+        ),
+        (
+            "anchor: majority of all cores elects",
+            elections::an_election_needs_a_majority_of_all_cores,
+        ),
+        (
+            "the newest log leads",
+            elections::a_stale_log_is_not_elected,
+        ),
+        (
+            "region lost: global leader answers",
+            answers::the_global_leader_answers_a_region_without_majority,
+        ),
+        (
+            "confirmation lost: global leader answers",
+            answers::a_lost_confirmation_is_made_good_by_the_global_leader,
+        ),
+        (
+            "each lost message of the paper",
+            answers::a_lost_message_of_the_paper_is_survived,
+        ),
+        (
+            "acks within ackMs after any one loss",
+            answers::any_one_core_lost_is_acked_within_ack_ms,
+        ),
+        (
+            "a returning core is no usurper",
+            elections::a_returning_core_does_not_depose_the_leader,
+        ),
+        (
+            "terms fence late confirmations",
+            answers::a_deposed_leaders_late_confirmation_is_ignored,
+        ),
+        (
+            "a retry gets the first answer",
+            answers::a_retry_gets_the_first_answer,
+        ),
+        (
+            "the leader moves by Ls",
+            elections::the_leader_moves_to_where_the_askers_are,
+        ),
+        (
+            "hysteresis on moves",
+            elections::even_asking_does_not_swing_the_leader,
+        ),
+    ];
+    let mut failed = Vec::new();
+    for (clause, f) in table {
+        if std::panic::catch_unwind(f).is_err() {
+            failed.push(*clause);
+        }
+    }
+    assert!(failed.is_empty(), "clauses not held: {failed:#?}");
+}
--- /dev/null
+++ b/rig/tests/site/errands.rs
@@ -0,0 +1,101 @@
+//! Errands, under everything that can fail around them.
+
+use super::*;
+use rig::site::Storm;
+use sorreldoor::problem::Problem;
+
+fn stormy(seed: u64, s: Storm) -> World {
+    let mut w = world(seed);
+    let end = w.now + 15_000;
+    w.traffic(60, end, |_, _| true);
+    w.storm(s, end);
+    w.run_for(16_000);
+    w.heal();
+    w.run_for(45_000);
+    w
+}
+
+#[test]
+fn storms_over_whole_sites_break_no_rule() {
+    let (mut n, mut of) = (0, 0);
+    for seed in 0..60 {
+        let w = stormy(seed, Storm::all());
+        sound(&w, seed);
+        let open: Vec<_> = w.callers.values().filter(|c| c.got == Got::Open).collect();
+        assert!(
+            open.is_empty(),
+            "seed {seed}: without any result: {open:#?}"
+        );
+        let (ok, all) = served(&w);
+        n += ok;
+        of += all;
+    }
+    println!("served in storms: {n} of {of}");
+    assert!(n * 2 > of, "{n} of {of}");
+}
+
+#[test]
+fn workers_that_die_and_freeze_run_nothing_twice() {
+    let s = Storm {
+        workers: true,
+        every: 150,
+        cores: false,
+        edges: false,
+        cuts: false,
+        clocks: false,
+        changes: false,
+    };
+    for seed in 100..130 {
+        let w = stormy(seed, s);
+        sound(&w, seed);
+        let (mut first, mut again) = (0, 0);
+        for e in w.edges() {
+            let c = &w.hall(e).expect("no edge was hurt").table.counts;
+            first += c.first;
+            again += c.again;
+        }
+        assert!(
+            again * 5 <= first,
+            "seed {seed}: {again} retries of {first}"
+        );
+    }
+}
+
+#[test]
+fn edges_that_die_while_giving_up_run_nothing_after_a_refusal() {
+    let s = Storm {
+        edges: true,
+        workers: true,
+        every: 200,
+        cores: false,
+        cuts: false,
+        clocks: true,
+        changes: false,
+    };
+    for seed in 200..230 {
+        sound(&stormy(seed, s), seed);
+    }
+}
+
+#[test]
+fn given_up_is_answered_at_once() {
+    for seed in 300..310 {
+        let mut w = world(seed);
+        for k in 0..w.workers.len() {
+            w.worker_dies(k);
+        }
+        w.run_for(3000);
+        let e = w.edges()[0];
+        let n = w.ask(e, "page", "", None);
+        w.run_for(10_000);
+        let c = &w.callers[&n];
+        assert!(matches!(
+            c.got,
+            Got::Shed(Problem::GivenUp | Problem::NoWorker)
+        ));
+        let took = c.end - c.start;
+        println!("seed {seed}: given up after {took} ms of 5000");
+        // never later than the cutoff and one alarm
+        assert!(took <= 5040, "{took}");
+    }
+}
--- /dev/null
+++ b/rig/tests/site/main.rs
@@ -0,0 +1,45 @@
+//! What must never happen, caused in virtual time over whole sites.
+
+mod changes;
+mod errands;
+mod regions;
+
+use rig::fleet::{archive, press};
+use rig::site::{check, Got, World};
+
+pub fn sound(w: &World, seed: u64) {
+    let mut wrong = check(w);
+    wrong.extend(w.kept());
+    assert!(wrong.is_empty(), "seed {seed}: {wrong:#?}");
+}
+
+pub fn ok(g: &Got) -> bool {
+    matches!(g, Got::Whole(_) | Got::Stream)
+}
+
+pub fn served(w: &World) -> (usize, usize) {
+    let n = w.callers.values().filter(|c| ok(&c.got)).count();
+    (n, w.callers.len())
+}
+
+pub fn world(seed: u64) -> World {
+    if seed.is_multiple_of(2) {
+        World::ready(seed, press())
+    } else {
+        World::ready(seed, archive())
+    }
+}
+
+#[test]
+fn a_calm_day_serves_everyone() {
+    for seed in 0..2 {
+        let mut w = world(seed);
+        let end = w.now + 10_000;
+        w.traffic(100, end, |_, _| true);
+        w.run_for(40_000);
+        sound(&w, seed);
+        let (ok, all) = served(&w);
+        println!("seed {seed}: {ok} of {all} served");
+        assert!(all > 800 && ok * 100 >= all * 99, "{ok} of {all}");
+    }
+}
--- a/sorreldoor/src/core/api.rs
+++ b/sorreldoor/src/core/api.rs
@@ -54,6 +54,7 @@
     async fn ready(&self) -> Response {
         match self.look().await {
             Some(Reply::Looked { ok: true, .. }) => http::json(200, "{\"ready\":true}".into()),
+            Some(Reply::Looked { disk: false, .. }) => http::shed(Problem::DiskFailed, "", 5),
             _ => http::shed(Problem::NoCore, "no quorum is reached from here", 1),
         }
     }
--- a/sorreldoor/src/core/duty.rs
+++ b/sorreldoor/src/core/duty.rs
@@ -50,6 +50,7 @@
             self.duty_at = self.now + GATHER_MS;
             self.gather();
         }
+        self.watch_recovery();
         if self.now >= self.tune_at {
             self.tune_at = self.now + TUNE_MS;
             self.tune();
@@ -63,7 +64,7 @@
         self.propose(Cmd::Duty { holder, above });
     }
 
-    fn propose(&mut self, cmd: Cmd) {
+    pub(super) fn propose(&mut self, cmd: Cmd) {
         let pid = self.own_pid();
         self.duty_pid = Some(pid);
         let body = Body::Data(Arc::new(encode(&cmd)));
--- a/sorreldoor/src/core/hub.rs
+++ b/sorreldoor/src/core/hub.rs
@@ -4,7 +4,7 @@
 use crate::agree::*;
 use crate::events::Ev;
 use crate::net::{Conn, NetEvent};
-use crate::record::{encode, Cmd, Record};
+use crate::record::{encode, Cmd, Outcome, Record};
 use crate::roster::{Loads, Roster};
 use crate::seam::{Now, Reducer};
 use crate::setup::Site;
@@ -48,6 +48,7 @@
     pub(super) duty_at: Ms,
     pub(super) duty_pid: Option<Pid>,
     pub(super) tune_at: Ms,
+    pub(super) recovery: BTreeMap<u8, super::regions::Watch>,
     pub(super) slow_at: Ms,
     pub(super) last_serial: u64,
     pub leaving: bool,
@@ -112,6 +113,7 @@
             duty_at: now,
             duty_pid: None,
             tune_at: now,
+            recovery: BTreeMap::new(),
             slow_at: now,
             last_serial: 0,
             leaving: false,
@@ -330,7 +332,7 @@
     fn on_result(&mut self, pid: Pid, r: Result<Arc<Vec<u8>>, Lost>) {
         let outcome = match r {
             // why: a membership change has no outcome of its own but having happened
-            Ok(b) if b.is_empty() => OpOutcome::Got(crate::record::Outcome::Taken { serial: 0 }),
+            Ok(b) if b.is_empty() => OpOutcome::Got(Outcome::Taken { serial: 0 }),
             Ok(b) => crate::record::decode(&b).map_or(OpOutcome::Unknown, OpOutcome::Got),
             Err(Lost::Unknown) => OpOutcome::Unknown,
             Err(Lost::Full) => OpOutcome::NotTaken,
@@ -338,7 +340,18 @@
         if self.duty_pid == Some(pid) {
             self.duty_pid = None;
         }
-        for f in self.ops.remove(&pid).unwrap_or_default() {
+        let asked = self.ops.remove(&pid).unwrap_or_default();
+        if !asked.is_empty() {
+            let id = crate::ops::pid_text(pid);
+            let (ev, about) = match &outcome {
+                OpOutcome::Got(Outcome::Taken { serial }) => {
+                    (Ev::ChangeTaken, format!("{id} as serial {serial}"))
+                }
+                o => (Ev::ChangeRefused, format!("{id}: {o:?}")),
+            };
+            self.say(ev, about);
+        }
+        for f in asked {
             self.op_done(f, outcome.clone());
         }
     }
--- a/sorreldoor/src/core/mod.rs
+++ b/sorreldoor/src/core/mod.rs
@@ -6,6 +6,7 @@
 mod events;
 mod found;
 mod hub;
+mod regions;
 mod run;
 mod status;
 
--- a/sorreldoor/src/core/run.rs
+++ b/sorreldoor/src/core/run.rs
@@ -32,6 +32,7 @@
     Done(OpOutcome),
     Looked {
         ok: bool,
+        disk: bool,
         status: String,
         view: Box<View>,
     },
@@ -299,6 +300,7 @@
                 let a = hub.agree.as_ref();
                 let r = Reply::Looked {
                     ok,
+                    disk: a.is_none_or(|a| !a.disk_failed()),
                     status: hub.status().encode(),
                     view: Box::new(a.map(|a| a.machine().view()).unwrap_or_default()),
                 };
--- a/sorreldoor/src/edge/hall.rs
+++ b/sorreldoor/src/edge/hall.rs
@@ -137,9 +137,23 @@
         }
         let fx = std::mem::take(&mut self.table.out);
         for f in fx {
-            if let ErrandFx::Unknown { id, worker } = &f {
-                let about = format!("{id} at {worker}");
-                self.say(Ev::ErrandUnknown, about);
+            match &f {
+                ErrandFx::Unknown { id, worker } => {
+                    self.say(Ev::ErrandUnknown, format!("{id} at {worker}"))
+                }
+                ErrandFx::Bad {
+                    id,
+                    worker,
+                    problem,
+                } => {
+                    let ev = if *problem == Problem::StreamBroken {
+                        Ev::StreamBroken
+                    } else {
+                        Ev::ResultBad
+                    };
+                    self.say(ev, format!("{id} at {worker}: {}", problem.code()));
+                }
+                _ => {}
             }
             self.out.push(HallFx::Errand(f));
         }
--- a/sorreldoor/src/edge/run.rs
+++ b/sorreldoor/src/edge/run.rs
@@ -211,7 +211,7 @@
                     self.desk.give(rid, Reply::Brought(b));
                 }
             }
-            ErrandFx::Unknown { .. } => {}
+            ErrandFx::Unknown { .. } | ErrandFx::Bad { .. } => {}
         }
     }
 
--- a/sorreldoor/src/errand/mod.rs
+++ b/sorreldoor/src/errand/mod.rs
@@ -110,6 +110,12 @@
         id: String,
         worker: String,
     },
+    /// For the log: a result refused, or a stream that broke.
+    Bad {
+        id: String,
+        worker: String,
+        problem: Problem,
+    },
 }
 
 /// Counters since the start; for metrics and for the retry budget's proof.
--- a/sorreldoor/src/errand/passes.rs
+++ b/sorreldoor/src/errand/passes.rs
@@ -4,7 +4,8 @@
 use crate::agree::Ms;
 use crate::place::{self, Ask};
 use crate::problem::Problem;
-use crate::setup::Route;
+use crate::record::Recovery;
+use crate::setup::{Kind, Route};
 
 const SHUN_MS: Ms = 1000;
 
@@ -31,6 +32,15 @@
         if p.emptied(p.zone) {
             return Err(Problem::Leaving);
         }
+        // why: nobody here could take it, so waiting would only use up its time
+        let lost = r.kind != Kind::Fetch && p.recovery(p.region) == Recovery::Lost;
+        let spills = s
+            .spill
+            .iter()
+            .any(|((from, to), n)| *from == p.region && self.spill.fits(*to, *n));
+        if lost && (r.home || !spills) {
+            return Err(Problem::NoWorker);
+        }
         Ok(true)
     }
 
@@ -125,14 +135,25 @@
         };
         let skip = |i: usize| e.tried.contains(&i) || self.shunned.contains_key(&i);
         let ws = &p.shown.view.weights;
-        let here = place::match_spot(s, ws, &p.spots, &skip, &a, p.region);
-        here.map(|i| (i, false)).or_else(|| {
+        let here = || place::match_spot(s, ws, &p.spots, &skip, &a, p.region).map(|i| (i, false));
+        let away = || {
             s.spill
                 .iter()
                 .filter(|((from, to), n)| *from == p.region && self.spill.fits(*to, **n))
                 .find_map(|((_, to), _)| place::match_spot(s, ws, &p.spots, &skip, &a, *to))
                 .map(|i| (i, true))
-        })
+        };
+        // why: a region that comes back cold is let in by how warm it is, so
+        // part of what it could take goes on elsewhere for a while
+        let part = match p.recovery(p.region) {
+            Recovery::Returning(n) if !r.home && r.kind != Kind::Fetch => u64::from(n),
+            _ => 100,
+        };
+        if place::mix(&e.asked.id, "part") % 100 < part {
+            here().or_else(away)
+        } else {
+            away().or_else(here)
+        }
     }
 
     fn open_at(&mut self, p: &mut Plan, rid: u64, i: usize, spilt: bool) {
@@ -190,6 +211,7 @@
                 self.end(p, rid, i);
             }
             (Stage::Relaying(i), Told::Broke(_)) => {
+                self.bad(p, rid, i, Problem::StreamBroken);
                 // why: what a caller has seen of a stream cannot be gone on elsewhere
                 self.counts.broken += 1;
                 self.end(p, rid, i);
@@ -276,6 +298,7 @@
             .and_then(|s| s.routes.get(e.route as usize))
             .is_some_and(|r| r.repeatable);
         self.shunned.insert(i, now + SHUN_MS);
+        self.bad(p, rid, i, why);
         if again && now < e.cutoff && e.tries < 3 && self.retries.again() {
             self.counts.again += 1;
             return self.back(p, rid, i, true);
@@ -291,6 +314,16 @@
         self.shed(rid, Problem::OutcomeUnknown, 1);
     }
 
+    fn bad(&mut self, p: &Plan, rid: u64, i: usize, problem: Problem) {
+        let id = self.rows.get(&rid).map(|e| e.asked.id.clone());
+        let worker = p.name(i);
+        self.out.extend(id.map(|id| ErrandFx::Bad {
+            id,
+            worker,
+            problem,
+        }));
+    }
+
     pub(super) fn end(&mut self, p: &mut Plan, rid: u64, i: usize) {
         p.done(i);
         self.rows.remove(&rid);
--- a/sorreldoor/src/net.rs
+++ b/sorreldoor/src/net.rs
@@ -56,6 +56,7 @@
     next: Arc<AtomicU64>,
     dials: Arc<Mutex<HashMap<SocketAddr, Arc<Dial>>>>,
     most: usize,
+    full: Arc<AtomicU64>,
 }
 
 impl<E> Clone for Net<E> {
@@ -68,6 +69,7 @@
             next: self.next.clone(),
             dials: self.dials.clone(),
             most: self.most,
+            full: self.full.clone(),
         }
     }
 }
@@ -82,6 +84,7 @@
             next: Arc::new(AtomicU64::new(1)),
             dials: Arc::default(),
             most,
+            full: Arc::default(),
         }
     }
 
@@ -89,7 +92,20 @@
     pub fn send(&self, conn: Conn, p: &Payload) -> bool {
         let out = locked(&self.outs).get(&conn).cloned();
         let b = Arc::new(wire::pack(&self.mark, p));
-        out.is_some_and(|o| o.try_send(b).is_ok())
+        let sent = out.map(|o| o.try_send(b));
+        let full = sent
+            .as_ref()
+            .is_some_and(|s| s.as_ref().is_err_and(|e| e.is_full()));
+        // why: a neighbour that does not read would fill the log as well
+        if full
+            && self
+                .full
+                .fetch_add(1, Ordering::Relaxed)
+                .is_multiple_of(1000)
+        {
+            say(Ev::RingFull, format!("to connection {conn}"));
+        }
+        sent.is_some_and(|s| s.is_ok())
     }
 
     pub fn close(&self, conn: Conn) {
