Claims on errand ids: asked again at another edge, an errand does not run twice

Ruled out: the workers, the table of one edge. Change: a claim on the id is noted and synced by a majority of cores before it is sent.

--- a/rig/src/site/callers.rs
+++ b/rig/src/site/callers.rs
@@ -39,6 +39,8 @@
     pub done_seen: bool,
     /// The head of a stream has come.
     pub begun: bool,
+    /// It was asked again under its id, at another edge.
+    pub retried: bool,
     pub moved: bool,
 }
 
@@ -67,6 +69,7 @@
                 seen: Vec::new(),
                 done_seen: false,
                 begun: false,
+                retried: false,
                 moved: false,
             },
         );
@@ -77,6 +80,9 @@
     /// The same errand again, under its id, at another edge.
     pub fn ask_again(&mut self, of: u64, edge: usize) -> u64 {
         let c = self.callers[&of].clone();
+        if let Some(d) = self.callers.get_mut(&of) {
+            d.retried = true;
+        }
         let n = self.ask(edge, &c.route, &c.key, c.home);
         if let Some(d) = self.callers.get_mut(&n) {
             d.id = c.id;
--- a/rig/src/site/workers.rs
+++ b/rig/src/site/workers.rs
@@ -196,7 +196,10 @@
             ErrandFx::Shed { rid, problem, .. } => self.shed(p, rid, problem),
             ErrandFx::Give { rid, token } => self.give(p, rid, token),
             ErrandFx::Elsewhere { rid, addr } => self.elsewhere(rid, addr),
-            ErrandFx::Unknown { .. } | ErrandFx::Bad { .. } => {}
+            ErrandFx::Unknown { .. }
+            | ErrandFx::Bad { .. }
+            | ErrandFx::Claim { .. }
+            | ErrandFx::Release { .. } => {}
         }
     }
 
--- a/sorreldoor/src/agree/node.rs
+++ b/sorreldoor/src/agree/node.rs
@@ -133,7 +133,9 @@
 
 impl<M: Machine> Agree<M> {
     pub fn new(me: Nid, pace: Pace, kept: Kept, machine: M, seed: u64, now: Ms) -> Agree<M> {
-        let Kept { hard, log, snap } = kept;
+        let Kept {
+            hard, log, snap, ..
+        } = kept;
         let base = log.base().idx;
         let mut a = Agree {
             me,
@@ -208,6 +210,7 @@
             hard: Hard::default(),
             log: Log::founded(members),
             snap: Some(snap.clone()),
+            claims: Vec::new(),
         };
         let mut a = Agree::new(me, pace, kept, machine, seed, now);
         a.save(Save::Snap { snap, reset: true });
@@ -286,4 +289,5 @@
     pub hard: Hard,
     pub log: Log,
     pub snap: Option<Snap>,
+    pub claims: Vec<(String, u128)>,
 }
--- a/sorreldoor/src/agree/state.rs
+++ b/sorreldoor/src/agree/state.rs
@@ -127,6 +127,12 @@
         });
     }
 
+    /// Keep claims with the log's own saves; the number that they are safe by.
+    pub fn keep_claims(&mut self, all: Vec<(String, u128)>) -> (u64, Vec<Effect>) {
+        self.save(Save::Claims(all));
+        (self.seq, std::mem::take(&mut self.out))
+    }
+
     pub(super) fn save_hard(&mut self) {
         let h = self.hard.clone();
         self.save(Save::Hard(h));
--- a/sorreldoor/src/agree/types.rs
+++ b/sorreldoor/src/agree/types.rs
@@ -73,6 +73,8 @@
         snap: Snap,
         reset: bool,
     },
+    /// Not the log's own: errand ids claimed here, kept beside it.
+    Claims(Vec<(String, u128)>),
 }
 
 /// What one core is known to hold in the term of the message.
--- a/sorreldoor/src/core/hub.rs
+++ b/sorreldoor/src/core/hub.rs
@@ -49,6 +49,7 @@
     pub(super) duty_pid: Option<Pid>,
     pub(super) tune_at: Ms,
     pub(super) recovery: BTreeMap<u8, super::regions::Watch>,
+    pub(super) claims: super::claims::Claims,
     pub(super) slow_at: Ms,
     pub(super) last_serial: u64,
     pub leaving: bool,
@@ -69,7 +70,10 @@
         match ev {
             HubEvent::Alarm => self.alarm(),
             HubEvent::Net(n) => self.net(n),
-            HubEvent::Saved(seq) => self.agreed(Event::Saved { seq }),
+            HubEvent::Saved(seq) => {
+                self.agreed(Event::Saved { seq });
+                self.claims_saved(seq);
+            }
             HubEvent::SaveFailed(why) => {
                 self.say(Ev::DiskFailed, why);
                 self.agreed(Event::SaveFailed);
@@ -118,6 +122,7 @@
             duty_pid: None,
             tune_at: now,
             recovery: BTreeMap::new(),
+            claims: Default::default(),
             slow_at: now,
             last_serial: 0,
             leaving: false,
@@ -127,6 +132,7 @@
             out: Vec::new(),
         };
         if let Some(k) = kept {
+            h.claims = super::claims::Claims::kept(&k.claims);
             let mut r = Record::new(h.site.clone());
             if let Some(s) = &k.snap {
                 r.load(&s.image);
@@ -166,6 +172,7 @@
             self.duty_alarm();
         }
         self.seats_alarm();
+        self.claims_alarm();
     }
 
     fn net(&mut self, n: NetEvent) {
@@ -217,6 +224,11 @@
             Payload::Loads(l) if from.core => self.take_loads(l),
             Payload::Renew { no, have, doing } => self.on_renew(conn, no, have, doing),
             Payload::Op { rid, pid, cmd } => self.change(OpFrom::Edge(conn, rid), pid, cmd),
+            Payload::Claim { rid, id, by } => self.on_claim(conn, rid, id, by),
+            Payload::ClaimAsk { no, id, by } if from.core => self.on_claim_ask(conn, no, id, by),
+            Payload::ClaimAns { no, yes } if from.core => self.on_claim_ans(from.id, no, yes),
+            Payload::Release { id, by } => self.on_release(&from, id, by),
+            Payload::Claims { all, sure } => self.on_claims(&from, all, sure),
             Payload::OpFind { rid, pid } => {
                 self.wants.push(Want::Find(OpFrom::Edge(conn, rid), pid))
             }
@@ -236,7 +248,9 @@
             self.out.push(HubFx::Close(conn));
             return;
         }
-        if !h.core {
+        if h.core {
+            self.tell_claims(conn);
+        } else {
             self.seat(conn, h.clone());
         }
         if let Some(l) = self.lines.get_mut(&conn) {
@@ -281,7 +295,7 @@
         }
     }
 
-    fn effect(&mut self, e: Effect) {
+    pub(super) fn effect(&mut self, e: Effect) {
         match e {
             Effect::Save { seq, save } => self.out.push(HubFx::Save(seq, save)),
             Effect::Send { to, msg } => {
--- a/sorreldoor/src/core/mod.rs
+++ b/sorreldoor/src/core/mod.rs
@@ -1,6 +1,7 @@
 //! The core node: consensus, sessions, delivery, duties.
 
 mod api;
+mod claims;
 mod deliver;
 mod duty;
 mod events;
--- a/sorreldoor/src/edge/hall.rs
+++ b/sorreldoor/src/edge/hall.rs
@@ -138,6 +138,8 @@
         let fx = std::mem::take(&mut self.table.out);
         for f in fx {
             match &f {
+                ErrandFx::Claim { rid, id } => self.claim(*rid, id.clone()),
+                ErrandFx::Release { rid, id } => self.release(*rid, id.clone()),
                 ErrandFx::Unknown { id, worker } => {
                     self.say(Ev::ErrandUnknown, format!("{id} at {worker}"))
                 }
@@ -217,6 +219,7 @@
         for f in self.pull.alarm(self.now) {
             self.pulled(f);
         }
+        self.table.pass_claims(self.now);
         self.table.pass_cutoffs(&mut self.plan, self.now);
         if !self.pull.permit(self.now) {
             self.table.pass_unpermitted();
--- a/sorreldoor/src/edge/run.rs
+++ b/sorreldoor/src/edge/run.rs
@@ -219,7 +219,10 @@
                     self.desk.give(rid, Reply::Brought(b));
                 }
             }
-            ErrandFx::Unknown { .. } | ErrandFx::Bad { .. } => {}
+            ErrandFx::Unknown { .. }
+            | ErrandFx::Bad { .. }
+            | ErrandFx::Claim { .. }
+            | ErrandFx::Release { .. } => {}
         }
     }
 
--- a/sorreldoor/src/edge/session.rs
+++ b/sorreldoor/src/edge/session.rs
@@ -14,6 +14,7 @@
                 if let Some(a) = dialled {
                     self.pull.up(conn, a, self.now);
                     self.say(Ev::SessionUp, a.to_string());
+                    self.retell(conn);
                 }
             }
             NetEvent::Down { conn } => {
@@ -37,6 +38,11 @@
     fn frame(&mut self, conn: Conn, p: Payload) {
         match p {
             Payload::Grant { no, ok, news } => self.on_grant(no, ok, news),
+            Payload::Claimed { rid, id, yes } => {
+                let (now, permit) = (self.now, self.pull.permit(self.now));
+                self.table
+                    .claimed(&mut self.plan, rid, &id, yes, permit, now);
+            }
             Payload::OpDone { rid, outcome } => self.on_done(rid, outcome),
             Payload::Ping { .. } => self.out.push(HallFx::Send(conn, Payload::Ping { no: 0 })),
             _ => {}
@@ -90,4 +96,40 @@
             .collect();
         self.pull.take_cores(cores);
     }
+
+    /// One try of one life of this edge, unlike any other.
+    fn by(&self, rid: u64) -> u128 {
+        (u128::from(self.me.boot) << 64) | u128::from(rid)
+    }
+
+    pub(super) fn claim(&mut self, rid: u64, id: String) {
+        let by = self.by(rid);
+        // why: without a session it is asked again by the pass over claims
+        if let Some(c) = self.pull.conn {
+            self.out
+                .push(HallFx::Send(c, Payload::Claim { rid, id, by }));
+        }
+    }
+
+    pub(super) fn release(&mut self, rid: u64, id: String) {
+        let by = self.by(rid);
+        if let Some(c) = self.pull.conn {
+            self.out.push(HallFx::Send(c, Payload::Release { id, by }));
+        }
+    }
+
+    /// A core may have lost what it noted; what was sent is told again.
+    fn retell(&mut self, conn: Conn) {
+        let all: Vec<(String, u128)> = self
+            .table
+            .sent_lately()
+            .into_iter()
+            .map(|(id, rid)| (id, self.by(rid)))
+            .collect();
+        if !all.is_empty() {
+            let sure = false;
+            self.out
+                .push(HallFx::Send(conn, Payload::Claims { all, sure }));
+        }
+    }
 }
--- a/sorreldoor/src/errand/ends.rs
+++ b/sorreldoor/src/errand/ends.rs
@@ -27,7 +27,7 @@
             let token = e.token;
             match e.stage {
                 Stage::Waiting => {
-                    self.rows.remove(&rid);
+                    self.forget(rid);
                     self.shed(rid, Problem::GivenUp, 2);
                 }
                 Stage::Opening(i) => {
@@ -50,9 +50,10 @@
 
     /// The caller hung up: drop what runs for it.
     pub fn gone(&mut self, p: &mut Plan, rid: u64) {
-        let Some(e) = self.rows.remove(&rid) else {
+        let Some(e) = self.rows.get(&rid).cloned() else {
             return;
         };
+        self.forget(rid);
         self.counts.gone += 1;
         if let Stage::Opening(i) | Stage::Sent(i) | Stage::Relaying(i) = e.stage {
             p.done(i);
@@ -70,7 +71,7 @@
             .map(|(r, _)| *r)
             .collect();
         for rid in waiting {
-            self.rows.remove(&rid);
+            self.forget(rid);
             self.shed(rid, Problem::NoPermit, 1);
         }
     }
@@ -86,7 +87,7 @@
             }
         }
         for rid in lost {
-            self.rows.remove(&rid);
+            self.forget(rid);
             self.shed(rid, Problem::UnknownRoute, 1);
         }
     }
--- a/sorreldoor/src/errand/mod.rs
+++ b/sorreldoor/src/errand/mod.rs
@@ -1,11 +1,13 @@
 //! Errands as records in a table, with passes that run over it.
 
 mod budget;
+mod claims;
 mod ends;
 mod passes;
 mod plan;
 
 pub use budget::{Retries, Spill};
+pub use claims::Claim;
 pub use plan::{Plan, Shown};
 
 use crate::agree::Ms;
@@ -50,6 +52,11 @@
     /// Workers that broke off on it already.
     pub tried: Vec<usize>,
     pub token: u64,
+    pub claim: Claim,
+    /// The connection stands and waits for the claim.
+    pub ready: bool,
+    /// Bytes may have left for a worker that has not denied running it.
+    pub left: bool,
 }
 
 /// What a worker's task tells of a try.
@@ -110,6 +117,15 @@
         id: String,
         worker: String,
     },
+    /// Claim the id with the cores, or give the claim up.
+    Claim {
+        rid: u64,
+        id: String,
+    },
+    Release {
+        rid: u64,
+        id: String,
+    },
     /// For the log: a result refused, or a stream that broke.
     Bad {
         id: String,
@@ -141,7 +157,7 @@
     pub spill: Spill,
     /// Ids of non-repeatable errands that were sent, so as never to send one
     /// again from here.
-    sent_ids: std::collections::HashSet<String>,
+    sent_ids: std::collections::HashMap<String, u64>,
     sent_order: VecDeque<String>,
     /// Moving mean of how long a route's errands take, in ms.
     takes: BTreeMap<String, u64>,
--- a/sorreldoor/src/errand/passes.rs
+++ b/sorreldoor/src/errand/passes.rs
@@ -1,6 +1,6 @@
 //! The passes over the table: match, send, give up, settle.
 
-use super::{Asked, Errand, ErrandFx, Plan, Stage, Table, Told};
+use super::{Asked, Claim, Errand, ErrandFx, Plan, Stage, Table, Told};
 use crate::agree::Ms;
 use crate::place::{self, Ask};
 use crate::problem::Problem;
@@ -53,7 +53,7 @@
         }
         // why: what was sent once from here must not be sent again
         let open = self.rows.values().any(|e| a.given && e.asked.id == a.id);
-        if !r.repeatable && a.given && (open || self.sent_ids.contains(&a.id)) {
+        if !r.repeatable && a.given && (open || self.sent_ids.contains_key(&a.id)) {
             return Err(Problem::AlreadyTaken);
         }
         let queue = self.queue_of(p, r);
@@ -67,6 +67,13 @@
         }
         self.counts.first += 1;
         self.retries.first(s.retry_percent);
+        let claim = if !r.repeatable && a.given {
+            let id = a.id.clone();
+            self.out.push(ErrandFx::Claim { rid, id });
+            Claim::Asked(now)
+        } else {
+            Claim::Needless
+        };
         self.rows.insert(
             rid,
             Errand {
@@ -80,6 +87,9 @@
                 spilt: false,
                 tried: Vec::new(),
                 token: 0,
+                claim,
+                ready: false,
+                left: false,
             },
         );
         Ok(())
@@ -226,10 +236,15 @@
 
     /// Send, or take it back: after this either the worker may run it or the
     /// caller may be refused, never both.
-    fn hand_over(&mut self, p: &mut Plan, rid: u64, i: usize, permit: bool, now: Ms) {
+    pub(super) fn hand_over(&mut self, p: &mut Plan, rid: u64, i: usize, permit: bool, now: Ms) {
         let Some(e) = self.rows.get_mut(&rid) else {
             return;
         };
+        // why: until its id is noted as this edge's, another may be sending it
+        if matches!(e.claim, Claim::Asked(_)) {
+            e.ready = true;
+            return;
+        }
         let token = e.token;
         let late = now >= e.cutoff;
         let fits = permit && p.open(i) && !late && allowed(p, e, i);
@@ -248,19 +263,20 @@
         }
         e.stage = Stage::Sent(i);
         e.sent_at = now;
+        e.left = true;
         let repeatable = p
             .setup
             .as_ref()
             .is_some_and(|s| s.routes[e.route as usize].repeatable);
         let id = e.asked.id.clone();
         if !repeatable {
-            self.remember(id);
+            self.remember(id, rid);
         }
         self.out.push(ErrandFx::Go { rid, token });
     }
 
-    fn remember(&mut self, id: String) {
-        if self.sent_ids.insert(id.clone()) {
+    fn remember(&mut self, id: String, rid: u64) {
+        if self.sent_ids.insert(id.clone(), rid).is_none() {
             self.sent_order.push_back(id);
         }
         if self.sent_order.len() > REMEMBERED_MOST {
@@ -281,9 +297,11 @@
         self.sent_ids.remove(&e.asked.id);
         e.stage = Stage::Waiting;
         e.token = 0;
+        e.ready = false;
+        e.left = false;
         e.tried.push(i);
         if !ok || e.tries >= 4 {
-            self.rows.remove(&rid);
+            self.forget(rid);
             self.shed(rid, Problem::NoWorker, 1);
         }
     }
@@ -326,7 +344,7 @@
 
     pub(super) fn end(&mut self, p: &mut Plan, rid: u64, i: usize) {
         p.done(i);
-        self.rows.remove(&rid);
+        self.forget(rid);
     }
 
     /// Remember how long the route's errands take once they are sent.
--- a/sorreldoor/src/store/mirror.rs
+++ b/sorreldoor/src/store/mirror.rs
@@ -2,12 +2,18 @@
 
 use crate::agree::{Entry, Hard, Kept, Last, Log, Save, Snap};
 use serde::{Deserialize, Serialize};
+use std::collections::VecDeque;
+
+/// Claims kept on disk.
+const CLAIMS: usize = 20_000;
 
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Mirror {
     pub hard: Hard,
     pub snap: Option<Snap>,
     pub entries: Vec<Entry>,
+    /// Errand ids claimed here, the newest last.
+    pub claims: VecDeque<(String, u128)>,
     /// Number of the last save taken in.
     pub seq: u64,
 }
@@ -30,6 +36,11 @@
                 self.entries.truncate(n);
                 self.entries.extend(entries.iter().cloned());
             }
+            Save::Claims(all) => {
+                self.claims.extend(all.iter().cloned());
+                let over = self.claims.len().saturating_sub(CLAIMS);
+                self.claims.drain(..over);
+            }
             Save::Snap { snap, reset } => {
                 let n = snap.last.idx.saturating_sub(self.base().idx) as usize;
                 if *reset {
@@ -59,6 +70,7 @@
             hard: self.hard.clone(),
             log,
             snap: self.snap.clone(),
+            claims: self.claims.iter().cloned().collect(),
         }
     }
 }
--- a/sorreldoor/src/wire.rs
+++ b/sorreldoor/src/wire.rs
@@ -92,12 +92,60 @@
     Sessions(Sessions),
     Roster(Arc<Roster>),
     Loads(Arc<Loads>),
-    Renew { no: u64, have: Have, doing: Doing },
-    Grant { no: u64, ok: bool, news: News },
-    Op { rid: u64, pid: Pid, cmd: Cmd },
-    OpFind { rid: u64, pid: Pid },
-    OpDone { rid: u64, outcome: OpOutcome },
-    Ping { no: u64 },
+    Renew {
+        no: u64,
+        have: Have,
+        doing: Doing,
+    },
+    Grant {
+        no: u64,
+        ok: bool,
+        news: News,
+    },
+    Op {
+        rid: u64,
+        pid: Pid,
+        cmd: Cmd,
+    },
+    OpFind {
+        rid: u64,
+        pid: Pid,
+    },
+    OpDone {
+        rid: u64,
+        outcome: OpOutcome,
+    },
+    /// An edge claims an errand id; `by` is one try of one life of it.
+    Claim {
+        rid: u64,
+        id: String,
+        by: u128,
+    },
+    Claimed {
+        rid: u64,
+        id: String,
+        yes: bool,
+    },
+    ClaimAsk {
+        no: u64,
+        id: String,
+        by: u128,
+    },
+    ClaimAns {
+        no: u64,
+        yes: bool,
+    },
+    Release {
+        id: String,
+        by: u128,
+    },
+    Claims {
+        all: Vec<(String, u128)>,
+        sure: bool,
+    },
+    Ping {
+        no: u64,
+    },
 }
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
