--- a/rig/tests/site/main.rs
+++ b/rig/tests/site/main.rs
@@ -4,6 +4,7 @@
 mod errands;
 mod founding;
 mod loads;
+mod members;
 mod mutants;
 mod regions;
 
--- /dev/null
+++ b/rig/tests/site/members.rs
@@ -0,0 +1,83 @@
+//! Who is a member: dead, frozen and one-way-cut nodes, and flapping ones.
+
+use super::*;
+
+fn listed(w: &World, name: &str) -> bool {
+    let e = w
+        .edges()
+        .into_iter()
+        .find(|e| w.procs[*e].name != name && w.procs[*e].up);
+    e.and_then(|e| w.hall(e)).is_some_and(|h| {
+        let all = h.plan.edges_for(None, false, "k");
+        all.iter().any(|n| n == name)
+    })
+}
+
+/// An edge that hears nothing, though it is heard, stops serving with its
+/// permit, and goes on through another core.
+#[test]
+fn an_edge_cut_one_way_moves_to_another_core() {
+    for seed in 1300..1315 {
+        let mut w = world(seed);
+        let end = w.now + 12_000;
+        w.traffic(60, end, |_, _| true);
+        let e = w.edges()[w.rng.below(9) as usize];
+        let at = w.hall(e).and_then(|h| h.pull.dialled);
+        let core = w.cores().into_iter().find(|c| w.procs[*c].addr == at);
+        let core = core.expect("an edge that serves has a core");
+        w.cuts.insert((core, e));
+        let from = w.now;
+        let moved = w.run_until(from + 6000, |w| {
+            let h = w.hall(e).expect("the edge is up");
+            h.pull.dialled != at && h.ready().is_ok()
+        });
+        assert!(moved, "seed {seed}: it serves again through another core");
+        println!(
+            "seed {seed}: serving through another core after {} ms",
+            w.now - from
+        );
+        w.run_for(40_000);
+        sound(&w, seed);
+    }
+}
+
+/// Dead, frozen or cut off: callers are no longer sent there, and are again
+/// once it is back; a short freeze changes nothing.
+#[test]
+fn callers_are_not_sent_to_edges_that_do_not_serve() {
+    for seed in 1400..1410 {
+        for how in 0..3 {
+            let mut w = world(seed);
+            let e = w.edges()[4];
+            let name = w.procs[e].name.clone();
+            assert!(listed(&w, &name));
+            match how {
+                0 => w.crash(e),
+                1 => w.freeze(e, 8000, false),
+                _ => w.isolate(e),
+            }
+            let from = w.now;
+            // a caller sent to it meanwhile loses its time, so it must be soon
+            let end = from + 2500;
+            let gone = w.run_until(end, |w| !listed(w, &name));
+            assert!(gone, "seed {seed}, {how}");
+            println!("seed {seed}, {how}: off the list after {} ms", w.now - from);
+            w.cuts.clear();
+            if how == 0 {
+                w.start(e);
+            }
+            let end = w.now + 14_000;
+            assert!(w.run_until(end, |w| listed(w, &name)), "seed {seed}, {how}");
+        }
+        let mut w = world(seed);
+        let e = w.edges()[4];
+        let name = w.procs[e].name.clone();
+        for _ in 0..10 {
+            w.freeze(e, 350, false);
+            for _ in 0..8 {
+                w.run_for(100);
+                assert!(listed(&w, &name), "a short pause is no death");
+            }
+        }
+    }
+}
