Time to come back by a calendar; odd results exactly or an honest problem

Cause of the first: every shed said 1 s, so a crowd returned as one. Each edge now books returns by the second, within a fifth of first tries and half of what it serves. Callers of simulator and soak obey. Ruled out: backlog over rate alone (returns still peaked).

Second, by a raw worker with sixteen odd results: 204 and 304 without a length were refused, a redirect lost its Location, a type its parameters, two lengths or length and chunks together were believed, a stream of the wrong type was begun. Now each comes exactly or as worker-garbage or worker-short.

--- a/rig/src/lib.rs
+++ b/rig/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod link;
 pub mod platform;
 pub mod rand;
+pub mod raw;
 pub mod shapes;
 pub mod sim;
 pub mod site;
--- /dev/null
+++ b/rig/src/raw.rs
@@ -0,0 +1,60 @@
+//! A web worker that reports its load like any other and answers everything
+//! else with bytes given, whatever HTTP may say of them.
+
+use crate::stand::locked;
+use async_std::io::prelude::*;
+use async_std::io::{self, BufReader};
+use async_std::net::{TcpListener, TcpStream};
+use async_std::task;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+
+pub struct Raw {
+    pub addr: SocketAddr,
+    says: Arc<Mutex<Vec<u8>>>,
+}
+
+impl Raw {
+    pub async fn start(name: &str) -> io::Result<Raw> {
+        let l = TcpListener::bind("127.0.0.1:0").await?;
+        let addr = l.local_addr()?;
+        let says: Arc<Mutex<Vec<u8>>> = Arc::default();
+        let (name, shared) = (name.to_string(), says.clone());
+        task::spawn(async move {
+            while let Ok((s, _)) = l.accept().await {
+                let (name, says) = (name.clone(), locked(&shared).clone());
+                task::spawn(async move { one(s, &name, &says).await });
+            }
+        });
+        Ok(Raw { addr, says })
+    }
+
+    pub fn say(&self, b: &[u8]) {
+        *locked(&self.says) = b.to_vec();
+    }
+}
+
+async fn one(s: TcpStream, name: &str, says: &[u8]) -> io::Result<()> {
+    let mut from = BufReader::new(s.clone());
+    let mut head = String::new();
+    while !head.ends_with("\r\n\r\n") {
+        if from.read_line(&mut head).await? == 0 {
+            return Ok(());
+        }
+    }
+    let load = format!(
+        r#"{{"worker":{name:?},"running":0,"queued":0,"slots":16,"finished":99,"adapters":[],"weights":"raw"}}"#
+    );
+    let n = load.len();
+    let told = format!(
+        "HTTP/1.1 200 OK\r\ncontent-type: application/json\r\ncontent-length: {n}\r\n\r\n{load}"
+    );
+    let text = if head.starts_with("GET /load ") {
+        told.as_bytes()
+    } else {
+        says
+    };
+    let mut s = s;
+    s.write_all(text).await?;
+    s.flush().await
+}
--- a/rig/src/site/mod.rs
+++ b/rig/src/site/mod.rs
@@ -93,6 +93,10 @@
     /// How long edges serve on one renewal; longer only to break a rule.
     pub permit_ms: Ms,
     pub most_claims: usize,
+    /// How often a caller that was shed comes back, as it was told to; or
+    /// after how many seconds whatever it was told.
+    pub patience: u32,
+    pub back_after: Option<u64>,
     /// Whether callers choose their errands' ids.
     pub given: bool,
     /// What claims cost: frames, their bytes, and bytes given to disks.
@@ -138,6 +142,8 @@
             ack_ms: 2000,
             permit_ms: 2000,
             most_claims: 200_000,
+            patience: 0,
+            back_after: None,
             given: true,
             claims_cost: (0, 0, 0),
             queue: BTreeMap::new(),
--- a/rig/src/site/workers.rs
+++ b/rig/src/site/workers.rs
@@ -205,7 +205,11 @@
             } => self.open(p, rid, token, addr.port()),
             ErrandFx::Go { rid, token, .. } => self.go(p, rid, token),
             ErrandFx::Drop { token, .. } => self.drop_try(p, token),
-            ErrandFx::Shed { rid, problem, .. } => self.shed(p, rid, problem),
+            ErrandFx::Shed {
+                rid,
+                problem,
+                again_s,
+            } => self.shed(rid, problem, again_s),
             ErrandFx::Give { rid, token } => self.give(p, rid, token),
             ErrandFx::Elsewhere { rid, addr } => self.elsewhere(rid, addr),
             ErrandFx::Unknown { .. }
--- a/rig/tests/site/main.rs
+++ b/rig/tests/site/main.rs
@@ -9,6 +9,7 @@
 mod mutants;
 mod regions;
 mod setups;
+mod waves;
 
 use rig::fleet::{archive, press};
 use rig::site::{check, Got, World};
--- a/sorreldoor/src/edge/api.rs
+++ b/sorreldoor/src/edge/api.rs
@@ -256,13 +256,23 @@
             r.insert_header("location", format!("http://{addr}{path}"));
             r
         }
-        Reply::Brought(Brought::Whole { status, kind, body }) => {
+        Reply::Brought(Brought::Whole {
+            status,
+            kind,
+            place,
+            body,
+        }) => {
             let code = StatusCode::try_from(status).unwrap_or(StatusCode::BadGateway);
             let mut r = Response::new(code);
             r.set_body(Body::from_bytes(body));
             if !kind.is_empty() {
                 r.insert_header("content-type", kind);
+            } else {
+                r.remove_header("content-type");
             }
+            place.into_iter().for_each(|p| {
+                r.insert_header("location", p);
+            });
             r
         }
         _ => http::shed(Problem::Leaving, "", 1),
--- a/sorreldoor/src/edge/hall.rs
+++ b/sorreldoor/src/edge/hall.rs
@@ -179,12 +179,7 @@
     }
 
     fn shed(&mut self, rid: u64, problem: Problem) {
-        self.table.counts.shed += 1;
-        self.out.push(HallFx::Errand(ErrandFx::Shed {
-            rid,
-            problem,
-            again_s: 1,
-        }));
+        self.table.shed(rid, problem, self.now);
     }
 
     /// Why nothing new is taken in just now.
@@ -220,7 +215,7 @@
         self.table.pass_cutoffs(&mut self.plan, self.now);
         self.table.pass_hopeless(&self.plan, self.now);
         if !self.pull.permit(self.now) {
-            self.table.pass_unpermitted();
+            self.table.pass_unpermitted(self.now);
         }
     }
 
@@ -249,6 +244,7 @@
     }
 
     fn knock(&mut self, rid: u64, asked: Asked) {
+        self.table.again.came(self.now);
         if let Some(p) = self.closed() {
             return self.shed(rid, p);
         }
--- a/sorreldoor/src/edge/relay.rs
+++ b/sorreldoor/src/edge/relay.rs
@@ -56,6 +56,7 @@
     Whole {
         status: u16,
         kind: String,
+        place: Option<String>,
         body: Vec<u8>,
     },
     Stream(Receiver<Piece>),
@@ -125,6 +126,7 @@
         let brought = Brought::Whole {
             status: c.status,
             kind: c.kind,
+            place: c.place,
             body: c.body,
         };
         let _ = self.hand.try_send(brought);
@@ -140,7 +142,7 @@
         if !self.load.model {
             return None;
         }
-        let json = c.kind == "application/json" && js::parse(&c.body, MOST_RESULT).is_ok();
+        let json = is(&c.kind, "application/json") && js::parse(&c.body, MOST_RESULT).is_ok();
         let missing = named.is_none();
         (missing || !json).then_some(Problem::WorkerGarbage)
     }
@@ -149,11 +151,13 @@
         let named = r
             .header("x-errand-id")
             .map(|h| h.last().as_str().to_string());
-        if named.as_deref() != Some(&self.load.id) || !http::framed(&r) {
-            let p = if named.is_some() {
-                Problem::WrongErrand
-            } else {
+        let kind = r.header("content-type").map_or("", |h| h.last().as_str());
+        let odd = !http::framed(&r) || !is(kind, "application/x-ndjson");
+        if named.as_deref() != Some(&self.load.id) || odd {
+            let p = if odd || named.is_none() {
                 Problem::WorkerGarbage
+            } else {
+                Problem::WrongErrand
             };
             return self.tell(Told::Broke(p)).await;
         }
@@ -244,6 +248,12 @@
     .await
 }
 
+/// Whether a content type is this one, whatever its parameters.
+fn is(kind: &str, want: &str) -> bool {
+    let essence = kind.split(';').next().unwrap_or("").trim();
+    essence.eq_ignore_ascii_case(want)
+}
+
 fn kind(b: Broke) -> Problem {
     match b {
         Broke::Short => Problem::WorkerShort,
--- a/sorreldoor/src/errand/claims.rs
+++ b/sorreldoor/src/errand/claims.rs
@@ -69,7 +69,7 @@
             Verdict::Full => Problem::ClaimsFull,
             _ => Problem::AlreadyTaken,
         };
-        self.shed(rid, why, 1);
+        self.shed(rid, why, now);
     }
 
     /// Ask again for claims that have had no answer.
@@ -94,6 +94,22 @@
         }
     }
 
+    /// Note an id that was sent from here.
+    pub(super) fn remember(&mut self, id: String, rid: u64, until: Ms, now: Ms) {
+        self.sent_ids.insert(id.clone(), rid);
+        self.sent_order.push_back((until, id, rid));
+        // why: the cores remember for sure; this only spares asking them
+        while let Some((t, id, of)) = self.sent_order.front().cloned() {
+            if t > now && self.sent_order.len() <= super::REMEMBERED {
+                break;
+            }
+            self.sent_order.pop_front();
+            if self.sent_ids.get(&id) == Some(&of) {
+                self.sent_ids.remove(&id);
+            }
+        }
+    }
+
     /// Ids sent from here of late, for cores that may have lost them.
     pub fn sent_lately(&self) -> Vec<(String, u64)> {
         self.sent_order
--- a/sorreldoor/src/errand/ends.rs
+++ b/sorreldoor/src/errand/ends.rs
@@ -30,12 +30,12 @@
             match e.stage {
                 Stage::Waiting => {
                     self.forget(rid);
-                    self.shed(rid, Problem::GivenUp, 2);
+                    self.shed(rid, Problem::GivenUp, now);
                 }
                 Stage::Opening(i) => {
                     self.out.push(ErrandFx::Drop { rid, token });
                     self.end(p, rid, i);
-                    self.shed(rid, Problem::GivenUp, 2);
+                    self.shed(rid, Problem::GivenUp, now);
                 }
                 Stage::Sent(i) => {
                     self.out.push(ErrandFx::Drop { rid, token });
@@ -69,7 +69,7 @@
             .collect();
         for (rid, why) in out {
             self.forget(rid);
-            self.shed(rid, why, 1);
+            self.shed(rid, why, now);
         }
     }
 
@@ -88,7 +88,7 @@
     }
 
     /// The permit has run out: nothing may start any more.
-    pub fn pass_unpermitted(&mut self) {
+    pub fn pass_unpermitted(&mut self, now: Ms) {
         let waiting: Vec<u64> = self
             .rows
             .iter()
@@ -97,7 +97,7 @@
             .collect();
         for rid in waiting {
             self.forget(rid);
-            self.shed(rid, Problem::NoPermit, 1);
+            self.shed(rid, Problem::NoPermit, now);
         }
     }
 
@@ -120,7 +120,7 @@
             let bound = r.is_some_and(|r| r.home && e.asked.home != Some(p.region));
             let bound = bound && !broken(Rule::Home);
             if !fits || bound {
-                self.take_back(p, rid, r.is_some());
+                self.take_back(p, rid, r.is_some(), now);
                 continue;
             }
             // why: it came as one that may be repeated, and is none any more
@@ -134,7 +134,7 @@
     }
 
     /// Shed what has not left and no longer fits.
-    fn take_back(&mut self, p: &mut Plan, rid: u64, known: bool) {
+    fn take_back(&mut self, p: &mut Plan, rid: u64, known: bool, now: Ms) {
         let Some(e) = self.rows.get(&rid) else {
             return;
         };
@@ -149,7 +149,7 @@
         } else {
             Problem::UnknownRoute
         };
-        self.shed(rid, why, 1);
+        self.shed(rid, why, now);
     }
 }
 
--- a/sorreldoor/src/errand/mod.rs
+++ b/sorreldoor/src/errand/mod.rs
@@ -1,5 +1,6 @@
 //! Errands as records in a table, with passes that run over it.
 
+mod again;
 mod allowed;
 mod budget;
 mod claims;
@@ -186,6 +187,7 @@
     pub counts: Counts,
     pub retries: Retries,
     pub spill: Spill,
+    pub again: again::Again,
     /// Callers' ids of non-repeatable errands that were sent, so as never to
     /// send one again from here; and until when they are remembered.
     sent_ids: std::collections::HashMap<String, u64>,
--- a/sorreldoor/src/errand/passes.rs
+++ b/sorreldoor/src/errand/passes.rs
@@ -16,7 +16,7 @@
     /// Take an errand in, or shed it at once.
     pub fn take(&mut self, p: &mut Plan, rid: u64, a: Asked, now: Ms) {
         if let Err(problem) = self.admit(p, rid, a, now) {
-            self.shed(rid, problem, 1);
+            self.shed(rid, problem, now);
         }
     }
 
@@ -114,8 +114,15 @@
             .unwrap_or(0)
     }
 
-    pub(super) fn shed(&mut self, rid: u64, problem: Problem, again_s: u64) {
+    pub fn shed(&mut self, rid: u64, problem: Problem, now: Ms) {
         self.counts.shed += 1;
+        let again_s = if problem.again() {
+            let rows = self.rows.values();
+            let waiting = rows.filter(|e| e.stage == Stage::Waiting).count();
+            self.again.book(problem, waiting, now)
+        } else {
+            0
+        };
         self.out.push(ErrandFx::Shed {
             rid,
             problem,
@@ -215,9 +222,9 @@
             (Stage::Opening(i), Told::Ready) => self.hand_over(p, rid, i, permit, now),
             (Stage::Opening(i), Told::Unsent) => {
                 self.shunned.insert(i, now + SHUN_MS);
-                self.back(p, rid, i, false);
+                self.back(p, rid, i, false, now);
             }
-            (Stage::Sent(i), Told::NotRun) => self.back(p, rid, i, false),
+            (Stage::Sent(i), Told::NotRun) => self.back(p, rid, i, false, now),
             (Stage::Sent(i), Told::Whole) => {
                 self.learn(rid, now);
                 self.end(p, rid, i);
@@ -275,7 +282,7 @@
                 ErrandFx::Drop { rid, token }
             });
             if permit && !late {
-                return self.back(p, rid, i, true);
+                return self.back(p, rid, i, true, now);
             }
             self.end(p, rid, i);
             let why = if late {
@@ -283,7 +290,7 @@
             } else {
                 Problem::NoPermit
             };
-            return self.shed(rid, why, 1);
+            return self.shed(rid, why, now);
         }
         e.stage = Stage::Sent(i);
         e.sent_at = now;
@@ -305,23 +312,8 @@
         });
     }
 
-    fn remember(&mut self, id: String, rid: u64, until: Ms, now: Ms) {
-        self.sent_ids.insert(id.clone(), rid);
-        self.sent_order.push_back((until, id, rid));
-        // why: the cores remember for sure; this only spares asking them
-        while let Some((t, id, of)) = self.sent_order.front().cloned() {
-            if t > now && self.sent_order.len() <= REMEMBERED_MOST {
-                break;
-            }
-            self.sent_order.pop_front();
-            if self.sent_ids.get(&id) == Some(&of) {
-                self.sent_ids.remove(&id);
-            }
-        }
-    }
-
     /// Nothing of it has run: wait again, for another worker.
-    fn back(&mut self, p: &mut Plan, rid: u64, i: usize, free: bool) {
+    fn back(&mut self, p: &mut Plan, rid: u64, i: usize, free: bool, now: Ms) {
         p.done(i);
         let ok = free || self.retries.again();
         self.counts.again += u64::from(ok && !free);
@@ -336,7 +328,7 @@
         e.tried.push(i);
         if !ok || e.tries >= 4 {
             self.forget(rid);
-            self.shed(rid, Problem::NoWorker, 1);
+            self.shed(rid, Problem::NoWorker, now);
         }
     }
 
@@ -349,11 +341,11 @@
         self.bad(p, rid, i, why);
         if again && now < e.cutoff && e.tries < 3 && self.retries.again() {
             self.counts.again += 1;
-            return self.back(p, rid, i, true);
+            return self.back(p, rid, i, true, now);
         }
         self.end(p, rid, i);
         if again {
-            return self.shed(rid, why, 1);
+            return self.shed(rid, why, now);
         }
         self.counts.unknown += 1;
         let (id, worker) = (e.asked.id, p.name(i));
@@ -365,7 +357,7 @@
         } else {
             honest
         };
-        self.shed(rid, said, 1);
+        self.shed(rid, said, now);
     }
 
     fn bad(&mut self, p: &Plan, rid: u64, i: usize, problem: Problem) {
@@ -385,6 +377,7 @@
 
     /// Remember how long the route's errands take once they are sent.
     fn learn(&mut self, rid: u64, now: Ms) {
+        self.again.done(now);
         if let Some(e) = self.rows.get(&rid) {
             let took = now.saturating_sub(e.sent_at);
             let t = self.takes.entry(e.asked.route.clone()).or_insert(took);
@@ -392,5 +385,3 @@
         }
     }
 }
-
-const REMEMBERED_MOST: usize = super::REMEMBERED;
--- a/sorreldoor/src/http.rs
+++ b/sorreldoor/src/http.rs
@@ -7,7 +7,8 @@
 use async_std::future::timeout;
 use async_std::net::{TcpListener, TcpStream};
 use async_std::task;
-use http_types::{Body, Method, Mime, Request, Response, StatusCode, Url};
+use http_types::headers::HeaderValue;
+use http_types::{Body, Method, Request, Response, StatusCode, Url};
 use simd_json::prelude::*;
 use std::future::Future;
 use std::net::SocketAddr;
@@ -217,6 +218,10 @@
     pub status: u16,
     pub kind: String,
     pub errand: Option<String>,
+    /// Where a redirect leads.
+    pub place: Option<String>,
+    /// Seconds after which to come back, if it says so.
+    pub again_s: Option<u64>,
     pub body: Vec<u8>,
 }
 
@@ -266,12 +271,33 @@
     async_h1::connect(s, req).await.map_err(|_| Broke::Sent)
 }
 
-/// Whether a result says how long it is, so that a short one can be told.
+/// Whether a result says how long it is, in one way only, so that a short
+/// one can be told.
 pub fn framed(r: &Response) -> bool {
+    let status = u16::from(r.status());
+    let bare = status == 204 || status == 304;
     let chunked = r
         .header("transfer-encoding")
-        .is_some_and(|h| h.last().as_str().eq_ignore_ascii_case("chunked"));
-    chunked || r.header("content-length").is_some()
+        .map(|h| h.last().as_str().eq_ignore_ascii_case("chunked"));
+    let lengths = r.header("content-length").map(|all| {
+        let first = all
+            .iter()
+            .next()
+            .and_then(|v| v.as_str().parse::<u64>().ok());
+        let same = |v: &HeaderValue| v.as_str().parse::<u64>().ok() == first;
+        first.is_some() && all.iter().all(same)
+    });
+    match (chunked, lengths) {
+        (None, None) => bare,
+        (None, Some(good)) => good,
+        (Some(good), None) => good,
+        // why: two readers may each believe another of the two
+        (Some(_), Some(_)) => false,
+    }
+}
+
+fn text(r: &Response, name: &str) -> Option<String> {
+    r.header(name).map(|h| h.last().as_str().to_string())
 }
 
 /// Read a result to its stated end.
@@ -280,33 +306,33 @@
     if !framed(&r) {
         return Err(Broke::Garbage);
     }
-    let want = r
-        .header("content-length")
-        .and_then(|h| h.last().as_str().parse::<usize>().ok());
+    let status: u16 = r.status().into();
+    let want = text(&r, "content-length").and_then(|n| n.parse::<usize>().ok());
     if want.is_some_and(|n| n > most) {
         return Err(Broke::Garbage);
     }
-    let kind = r
-        .content_type()
-        .map_or(String::new(), |m: Mime| m.essence().to_string());
-    let errand = r
-        .header("x-errand-id")
-        .map(|h| h.last().as_str().to_string());
-    let status: u16 = r.status().into();
+    let (kind, errand) = (text(&r, "content-type"), text(&r, "x-errand-id"));
+    let place = text(&r, "location");
+    let again_s = text(&r, "retry-after").and_then(|s| s.parse().ok());
     let mut b = Vec::new();
-    let mut body = r.take_body().take(most as u64 + 1);
-    body.read_to_end(&mut b).await.map_err(|_| Broke::Short)?;
-    if b.len() > most {
-        return Err(Broke::Garbage);
-    }
-    // why: async-h1 takes an early end of a counted body for its end
-    if want.is_some_and(|n| n != b.len()) && !broken(Rule::ResultLength) {
-        return Err(Broke::Short);
+    // why: whatever follows a result that has no body is not part of it
+    if status != 204 && status != 304 {
+        let mut body = r.take_body().take(most as u64 + 1);
+        body.read_to_end(&mut b).await.map_err(|_| Broke::Short)?;
+        if b.len() > most {
+            return Err(Broke::Garbage);
+        }
+        // why: async-h1 takes an early end of a counted body for its end
+        if want.is_some_and(|n| n != b.len()) && !broken(Rule::ResultLength) {
+            return Err(Broke::Short);
+        }
     }
     Ok(Called {
         status,
-        kind,
+        kind: kind.unwrap_or_default(),
         errand,
+        place,
+        again_s,
         body: b,
     })
 }
