Real processes in trouble: clocks, disks, regions cut, a rolling restart

Ruled out: streams cut by the drain.

Clocks an hour on and back, disks slow, stuck and full, the regions cut from each other, through the product's own clock and store seams in a runner of the rig; no preload, no switch in the product. Time suspended now counts where the system tells it.

--- a/rig/src/fleet.rs
+++ b/rig/src/fleet.rs
@@ -12,7 +12,7 @@
 use std::collections::BTreeMap;
 use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, Command};
 use std::sync::{Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
@@ -40,6 +40,8 @@
     pub binary: PathBuf,
     /// Set for every child: how test builds are told to misbehave.
     pub envs: Vec<(String, String)>,
+    /// Nodes run with clocks and disks that can be made to misbehave.
+    pub tricky: bool,
     cores: usize,
     /// Held for the fleet's life: one fleet at a time in a process.
     turn: Option<MutexGuard<'static, ()>>,
@@ -137,6 +139,7 @@
             workers,
             binary: binary(),
             envs: Vec::new(),
+            tricky: false,
             cores,
             turn: None,
         };
@@ -166,7 +169,7 @@
         }
     }
 
-    fn write(&self, i: usize, seeds: &[SocketAddr], reach: &[(SocketAddr, SocketAddr)]) {
+    pub(crate) fn write(&self, i: usize, seeds: &[SocketAddr], reach: &[(SocketAddr, SocketAddr)]) {
         let n = &self.nodes[i];
         let mut v = Val::object();
         let mut regions = Val::object();
@@ -196,71 +199,6 @@
         std::fs::write(&n.file, v.encode()).expect("the fleet's folder can be written");
     }
 
-    pub fn spawn(&mut self, i: usize) {
-        let n = &mut self.nodes[i];
-        let log = std::fs::OpenOptions::new()
-            .create(true)
-            .append(true)
-            .open(self.root.join(format!("{}.log", n.name)))
-            .expect("the fleet's folder can be written");
-        let role = if n.core { "core" } else { "edge" };
-        // why: a write beyond a limit must fail, as on a full disk, not kill
-        let child = Command::new("sh")
-            .args(["-c", "trap '' XFSZ; exec \"$0\" \"$@\""])
-            .arg(&self.binary)
-            .args([role, "--settings"])
-            .arg(&n.file)
-            .envs(self.envs.iter().map(|(k, v)| (k, v)))
-            .env("ASYNC_STD_THREAD_COUNT", "2")
-            .stdin(Stdio::null())
-            .stdout(Stdio::null())
-            .stderr(log)
-            .spawn()
-            .expect("the product's program can be started");
-        n.child = Some(child);
-    }
-
-    /// Lay out a blank core in a lost one's zone, at a new address.
-    pub fn replace(&mut self, lost: usize) -> usize {
-        let mut held = Held::default();
-        let (zone, region) = (
-            self.nodes[lost].zone.clone(),
-            self.nodes[lost].region.clone(),
-        );
-        let name = format!("{}-new", self.nodes[lost].name);
-        let n = node(&self.root, &mut held, name, true, &zone, &region);
-        self.nodes.push(n);
-        let i = self.nodes.len() - 1;
-        let seeds: Vec<SocketAddr> = self.nodes.iter().take(i).filter_map(|n| n.listen).collect();
-        self.write(i, &seeds, &[]);
-        i
-    }
-
-    pub fn kill(&mut self, i: usize) {
-        if let Some(mut c) = self.nodes[i].child.take() {
-            let _ = c.kill();
-            let _ = c.wait();
-        }
-    }
-
-    /// Send a signal by name to one of this fleet's own children.
-    pub fn signal(&self, i: usize, sig: &str) {
-        if let Some(c) = &self.nodes[i].child {
-            let _ = Command::new("kill")
-                .args(["-s", sig, &c.id().to_string()])
-                .status();
-        }
-    }
-
-    /// From now on no write of this child beyond a file's first bytes succeeds.
-    pub fn limit_files(&self, i: usize) {
-        if let Some(c) = &self.nodes[i].child {
-            let _ = Command::new("prlimit")
-                .args(["--pid", &c.id().to_string(), "--fsize=64:64"])
-                .status();
-        }
-    }
-
     pub fn node(&self, name: &str) -> usize {
         self.nodes
             .iter()
@@ -385,7 +323,14 @@
     }
 }
 
-fn node(root: &Path, held: &mut Held, name: String, core: bool, zone: &str, region: &str) -> Node {
+pub(crate) fn node(
+    root: &Path,
+    held: &mut Held,
+    name: String,
+    core: bool,
+    zone: &str,
+    region: &str,
+) -> Node {
     Node {
         file: root.join(format!("{name}.json")),
         listen: core.then(|| held.take()),
--- a/rig/src/lib.rs
+++ b/rig/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod disk;
 mod feed;
 pub mod fleet;
+mod hands;
 pub mod link;
 pub mod platform;
 pub mod rand;
@@ -12,3 +13,4 @@
 pub mod site;
 pub mod soak;
 pub mod stand;
+pub mod tricks;
--- a/rig/src/main.rs
+++ b/rig/src/main.rs
@@ -19,6 +19,20 @@
     Fleet(FleetArgs),
     #[options(help = "a deployment's mix on a real fleet while nodes fail, for some seconds")]
     Soak(SoakArgs),
+    #[options(help = "one node whose clock and disk misbehave as a file says")]
+    Node(NodeArgs),
+}
+
+#[derive(Debug, Options)]
+struct NodeArgs {
+    #[options(help = "show this help")]
+    help: bool,
+    #[options(help = "core or edge", meta = "ROLE", required)]
+    role: String,
+    #[options(help = "the node's settings", meta = "FILE", required)]
+    settings: Option<PathBuf>,
+    #[options(help = "what misbehaves, and how", meta = "FILE", required)]
+    tricks: Option<PathBuf>,
 }
 
 #[derive(Debug, Options)]
@@ -55,6 +69,15 @@
     match a.what {
         Some(What::Fleet(f)) => fleet(f),
         Some(What::Soak(s)) => soak(s),
+        Some(What::Node(n)) => {
+            env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info"))
+                .init();
+            let (set, tricks) = (n.settings.unwrap_or_default(), n.tricks.unwrap_or_default());
+            if let Err(e) = rig::tricks::node(&n.role, &set, &tricks) {
+                eprintln!("rig: {e}");
+                std::process::exit(1);
+            }
+        }
         None => {
             eprintln!("rig: say what to run: fleet; see --help");
             std::process::exit(2);
--- a/rig/src/soak.rs
+++ b/rig/src/soak.rs
@@ -25,6 +25,8 @@
 pub struct Tally {
     pub asked: usize,
     pub tries: usize,
+    /// Tries, not errands, that ended without a word or with an unsure one.
+    pub lost: usize,
     pub served: usize,
     pub refused: usize,
     pub unsure: usize,
@@ -35,6 +37,7 @@
     stop: AtomicBool,
     next: AtomicU64,
     tries: AtomicU64,
+    lost: AtomicU64,
     edges: Vec<(SocketAddr, String)>,
     saw: Mutex<BTreeMap<String, Saw>>,
     wrong: Mutex<Vec<String>>,
@@ -44,6 +47,13 @@
 
 /// Callers in `threads`, faults from `seed`, for `time`; then what was seen.
 pub fn soak(f: &mut Fleet, seed: u64, threads: usize, time: Duration) -> Tally {
+    under(f, seed, threads, |f| {
+        trouble(f, Rand::new(seed), Instant::now() + time)
+    })
+}
+
+/// Callers in `threads` while `what` is done to the fleet.
+pub fn under(f: &mut Fleet, seed: u64, threads: usize, what: impl FnOnce(&mut Fleet)) -> Tally {
     let edges = f
         .edges()
         .iter()
@@ -53,6 +63,7 @@
         stop: AtomicBool::new(false),
         next: AtomicU64::new(1),
         tries: AtomicU64::new(0),
+        lost: AtomicU64::new(0),
         edges,
         saw: Mutex::default(),
         wrong: Mutex::default(),
@@ -63,7 +74,7 @@
             thread::spawn(move || caller(&sh, Rand::new(seed * 1000 + t)))
         })
         .collect();
-    trouble(f, Rand::new(seed), Instant::now() + time);
+    what(f);
     sh.stop.store(true, Ordering::SeqCst);
     for c in callers {
         let _ = c.join();
@@ -87,10 +98,7 @@
                 f.signal(i, "CONT");
             }
             _ => {
-                f.signal(i, "TERM");
-                if let Some(mut c) = f.nodes[i].child.take() {
-                    let _ = c.wait();
-                }
+                f.stop(i);
                 f.spawn(i);
             }
         }
@@ -109,6 +117,8 @@
             sh.tries.fetch_add(1, Ordering::SeqCst);
             let (saw, again_s) = ask(sh, *at, region, &id, kind, &mut r);
             let again = saw != Saw::Served;
+            let lost = u64::from(saw == Saw::Unsure);
+            sh.lost.fetch_add(lost, Ordering::SeqCst);
             locked(&sh.saw).insert(id.clone(), saw);
             if !again || i == 5 {
                 break;
@@ -187,6 +197,7 @@
     let mut t = Tally {
         wrong: std::mem::take(&mut *locked(&sh.wrong)),
         tries: sh.tries.load(Ordering::SeqCst) as usize,
+        lost: sh.lost.load(Ordering::SeqCst) as usize,
         ..Tally::default()
     };
     let mut ran: BTreeMap<String, u32> = BTreeMap::new();
--- a/rig/src/stand.rs
+++ b/rig/src/stand.rs
@@ -136,7 +136,7 @@
             free,
             give,
         });
-        let server = task::spawn(http::serve(l, 4096, move |r, p| {
+        let server = task::spawn(http::serve(l, 4096, http::Gate::default(), move |r, p| {
             handle(inner.clone(), r, p)
         }));
         Ok(Stand {
--- a/sorreldoor/src/core/mod.rs
+++ b/sorreldoor/src/core/mod.rs
@@ -17,4 +17,4 @@
 pub use book::KEEP_MS;
 pub use events::{HubEvent, HubFx, OpFrom, Start, Want};
 pub use hub::Hub;
-pub use run::run;
+pub use run::{run, run_with};
--- a/sorreldoor/src/core/run.rs
+++ b/sorreldoor/src/core/run.rs
@@ -79,6 +79,19 @@
 }
 
 pub fn run(set: Settings) -> Result<(), String> {
+    run_with(set, seam::Machine::default(), |s| s)
+}
+
+/// With another clock, or something around the store.
+pub fn run_with<C, S>(
+    set: Settings,
+    clock: C,
+    wrap: impl FnOnce(WalStore) -> S,
+) -> Result<(), String>
+where
+    C: seam::Clock,
+    S: Store + 'static,
+{
     let set = Arc::new(set);
     let dir = set.data.clone().unwrap_or_default();
     let id = identity(&dir).map_err(|e| format!("data: identity: {e}"))?;
@@ -145,7 +158,9 @@
         ring: ring.clone(),
         answers: answers.clone(),
     };
-    task::spawn(http::serve(web, set.most_connections, move |r, _| {
+    let gate = http::Gate::default();
+    let most = set.most_connections;
+    task::spawn(http::serve(web, most, gate.clone(), move |r, _| {
         api.clone().handle(r)
     }));
     say(Ev::Started, format!("core {} ({id:x})", set.node));
@@ -155,7 +170,7 @@
     if let Some(p) = set.platform {
         task::spawn(watch_platform(set.clone(), p, ring.clone()));
     }
-    let saves = store_thread(store, ring.clone());
+    let saves = store_thread(wrap(store), ring.clone());
     let mut hub = hub;
     let mut hand = Daemon {
         net,
@@ -163,15 +178,16 @@
         answers,
         saves,
         ring,
+        gate,
         stop_at: None,
     };
-    seam::turn(&mut hub, &seam::Machine::default(), &mut hand, &rx);
+    seam::turn(&mut hub, &clock, &mut hand, &rx);
     say(Ev::Stopped, "core");
     Ok(())
 }
 
 /// The store's own thread: batches what waits, syncs once for all of it.
-fn store_thread(mut store: WalStore, ring: Ring<HubEvent>) -> Sender<(u64, Save)> {
+fn store_thread<S: Store + 'static>(mut store: S, ring: Ring<HubEvent>) -> Sender<(u64, Save)> {
     let (tx, rx) = bounded::<(u64, Save)>(RING);
     thread::spawn(move || {
         while let Ok(first) = rx.recv_blocking() {
@@ -254,6 +270,7 @@
     answers: Answers,
     saves: Sender<(u64, Save)>,
     ring: Ring<HubEvent>,
+    gate: http::Gate,
     stop_at: Option<Instant>,
 }
 
@@ -263,8 +280,11 @@
             say(Ev::Leaving, "core");
             // why: what was just acked should still reach the others
             self.stop_at = Some(Instant::now() + Duration::from_millis(300));
+            self.gate.shut();
         }
-        self.stop_at.is_none_or(|t| Instant::now() < t)
+        let late = Duration::from_secs(2);
+        let heard = |t: Instant| self.gate.open() == 0 || Instant::now() >= t + late;
+        self.stop_at.is_none_or(|t| Instant::now() < t || !heard(t))
     }
 
     fn carry(&mut self, hub: &mut Hub, fx: HubFx) {
--- a/sorreldoor/src/edge/mod.rs
+++ b/sorreldoor/src/edge/mod.rs
@@ -7,4 +7,4 @@
 mod session;
 
 pub use hall::{Hall, HallEvent, HallFx};
-pub use run::run;
+pub use run::{run, run_with};
--- a/sorreldoor/src/edge/run.rs
+++ b/sorreldoor/src/edge/run.rs
@@ -83,8 +83,12 @@
 }
 
 pub fn run(set: Settings) -> Result<(), String> {
+    run_with(set, seam::Machine::default())
+}
+
+/// With another clock.
+pub fn run_with<C: Clock>(set: Settings, clock: C) -> Result<(), String> {
     let set = Arc::new(set);
-    let clock = seam::Machine::default();
     let (ring, rx) = bounded(RING);
     let web = task::block_on(TcpListener::bind(set.http))
         .map_err(|e| format!("http: cannot bind {}: {e}", set.http))?;
@@ -113,7 +117,9 @@
         HallEvent::Net as fn(NetEvent) -> HallEvent,
         set.most_connections,
     );
-    task::spawn(http::serve(web, set.most_connections, move |r, p| {
+    let gate = http::Gate::default();
+    let most = set.most_connections;
+    task::spawn(http::serve(web, most, gate.clone(), move |r, p| {
         api.clone().handle(r, p)
     }));
     say(Ev::Started, format!("edge {}", set.node));
@@ -127,6 +133,7 @@
         desk,
         ring,
         tasks: HashMap::new(),
+        gate,
         stop_at: None,
         sweep_at: Instant::now(),
     };
@@ -148,6 +155,7 @@
     desk: Desk,
     ring: Ring<HallEvent>,
     tasks: HashMap<u64, Running>,
+    gate: http::Gate,
     stop_at: Option<Instant>,
     sweep_at: Instant,
 }
@@ -164,9 +172,14 @@
         if hall.leaving && self.stop_at.is_none() {
             self.stop_at = Some(Instant::now() + Duration::from_millis(self.set.drain_ms));
         }
-        // why: what runs is finished, up to the cutoff the settings give
-        self.stop_at
-            .is_none_or(|t| !hall.idle() && Instant::now() < t)
+        // why: what runs is finished, up to the cutoff the settings give; then
+        // nothing more is let in, and who is in hears a last word
+        let Some(end) = self.stop_at else { return true };
+        if hall.idle() {
+            self.gate.shut();
+        }
+        let done = hall.idle() && self.gate.open() == 0;
+        !done && Instant::now() < end
     }
 
     fn carry(&mut self, hall: &mut Hall, fx: HallFx) {
--- a/sorreldoor/src/http.rs
+++ b/sorreldoor/src/http.rs
@@ -4,6 +4,7 @@
 use crate::js::Val;
 use crate::problem::Problem;
 use crate::rules::{broken, Rule};
+use async_std::channel::{bounded, Receiver, Sender};
 use async_std::future::timeout;
 use async_std::net::{TcpListener, TcpStream};
 use async_std::task;
@@ -14,10 +15,13 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::Arc;
+use std::task::Poll;
 use std::time::Duration;
 
 pub const HEAD: Duration = Duration::from_secs(10);
 const LINGER: Duration = Duration::from_millis(500);
+/// Between looks at the gate while a connection is idle.
+const LOOK: Duration = Duration::from_millis(100);
 pub const IDLE: Duration = Duration::from_secs(60);
 
 pub fn json(status: u16, text: String) -> Response {
@@ -84,33 +88,99 @@
     }
 }
 
-/// Serve connections until the listener is dropped; `most` at once.
-pub async fn serve<F, Fut>(l: TcpListener, most: usize, f: F)
+/// A door that can be shut: what came in is served, nothing more comes.
+#[derive(Clone)]
+pub struct Gate {
+    shut: Arc<AtomicBool>,
+    open: Arc<AtomicUsize>,
+    bell: Sender<()>,
+    hear: Receiver<()>,
+}
+
+impl Default for Gate {
+    fn default() -> Gate {
+        let (bell, hear) = bounded(1);
+        Gate {
+            shut: Arc::default(),
+            open: Arc::default(),
+            bell,
+            hear,
+        }
+    }
+}
+
+impl Gate {
+    pub fn shut(&self) {
+        self.shut.store(true, Ordering::SeqCst);
+        self.bell.close();
+    }
+
+    fn is_shut(&self) -> bool {
+        self.shut.load(Ordering::SeqCst)
+    }
+
+    /// Connections that are still served.
+    pub fn open(&self) -> usize {
+        self.open.load(Ordering::SeqCst)
+    }
+
+    /// The next connection, or none once the gate is shut.
+    async fn next(&self, l: &TcpListener) -> Option<TcpStream> {
+        let mut shut = std::pin::pin!(self.hear.recv());
+        loop {
+            let mut come = std::pin::pin!(l.accept());
+            let got = std::future::poll_fn(|cx| {
+                // why: what has come already is served before the gate shuts
+                if let Poll::Ready(r) = come.as_mut().poll(cx) {
+                    return Poll::Ready(Some(r));
+                }
+                shut.as_mut().poll(cx).map(|_| None)
+            });
+            match got.await? {
+                Ok((s, _)) => return Some(s),
+                Err(_) => task::sleep(Duration::from_millis(20)).await,
+            }
+        }
+    }
+}
+
+/// Serve connections until the gate is shut; `most` at once.
+pub async fn serve<F, Fut>(l: TcpListener, most: usize, gate: Gate, f: F)
 where
     F: Fn(Request, Peer) -> Fut + Clone + Send + Sync + 'static,
     Fut: Future<Output = Response> + Send + 'static,
 {
-    let open = Arc::new(AtomicUsize::new(0));
-    loop {
-        let Ok((s, _)) = l.accept().await else {
-            task::sleep(Duration::from_millis(20)).await;
-            continue;
-        };
-        let n = open.fetch_add(1, Ordering::SeqCst);
-        let (open, f) = (open.clone(), f.clone());
+    while let Some(s) = gate.next(&l).await {
+        let n = gate.open.fetch_add(1, Ordering::SeqCst);
+        let (gate, f) = (gate.clone(), f.clone());
         task::spawn(async move {
             let _ = s.set_nodelay(true);
             if n >= most {
                 let mut s = s;
                 let _ = timeout(HEAD, refuse(&mut s, Problem::TooManyConnections)).await;
             } else {
-                one(s, f).await;
+                one(s, &gate, f).await;
             }
-            open.fetch_sub(1, Ordering::SeqCst);
+            gate.open.fetch_sub(1, Ordering::SeqCst);
         });
     }
 }
 
+/// Wait for the first byte of what comes next; false when there is none.
+async fn comes(s: &TcpStream, gate: &Gate) -> bool {
+    let mut first = [0; 1];
+    let mut waited = Duration::ZERO;
+    // why: an idle connection is kept, but not for ever, nor past the gate
+    while waited < IDLE {
+        match timeout(LOOK, s.peek(&mut first)).await {
+            Ok(got) => return matches!(got, Ok(1)),
+            Err(_) if gate.is_shut() => return false,
+            Err(_) => waited += LOOK,
+        }
+    }
+    false
+}
+
 async fn refuse(s: &mut TcpStream, p: Problem) -> std::io::Result<()> {
     use async_std::io::prelude::*;
     let mut r = shed(p, "", 1);
@@ -121,15 +191,13 @@
     s.write_all(&b).await
 }
 
-async fn one<F, Fut>(mut s: TcpStream, f: F)
+async fn one<F, Fut>(mut s: TcpStream, gate: &Gate, f: F)
 where
     F: Fn(Request, Peer) -> Fut + Clone + Send + Sync + 'static,
     Fut: Future<Output = Response> + Send + 'static,
 {
     loop {
-        // why: an idle connection is kept, but not for ever
-        let mut first = [0; 1];
-        if !matches!(timeout(IDLE, s.peek(&mut first)).await, Ok(Ok(1))) {
+        if !comes(&s, gate).await {
             return;
         }
         let begun = Arc::new(AtomicBool::new(false));
@@ -156,7 +224,7 @@
             .await;
         late.cancel().await;
         match got {
-            Ok(async_h1::server::ConnectionStatus::KeepAlive) => {}
+            Ok(async_h1::server::ConnectionStatus::KeepAlive) if !gate.is_shut() => {}
             Ok(_) => return,
             Err(_) => {
                 // why: a head that is no HTTP, or too large, still gets a word
--- a/sorreldoor/src/seam.rs
+++ b/sorreldoor/src/seam.rs
@@ -2,7 +2,7 @@
 //! computes, a clock that only tells, and a hand that only carries out.
 
 use async_std::channel::Receiver;
-use std::time::{Instant, SystemTime, UNIX_EPOCH};
+use std::time::{SystemTime, UNIX_EPOCH};
 
 /// What time it is, to one process: its own monotonic clock and the wall's.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -28,23 +28,38 @@
     fn goes_on(&mut self, r: &R) -> bool;
 }
 
-/// The machine's clocks, in milliseconds.
+/// The machine's clocks, in milliseconds. Where the system offers it, time
+/// that the machine spent suspended counts as time gone by.
 pub struct Machine {
-    began: Instant,
+    began: u64,
+}
+
+#[cfg(any(target_os = "linux", target_os = "android"))]
+fn gone_by() -> u64 {
+    let t = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+    t.tv_sec as u64 * 1000 + t.tv_nsec as u64 / 1_000_000
+}
+
+#[cfg(not(any(target_os = "linux", target_os = "android")))]
+fn gone_by() -> u64 {
+    use std::sync::OnceLock;
+    static BEGAN: OnceLock<std::time::Instant> = OnceLock::new();
+    BEGAN
+        .get_or_init(std::time::Instant::now)
+        .elapsed()
+        .as_millis() as u64
 }
 
 impl Default for Machine {
     fn default() -> Machine {
-        Machine {
-            began: Instant::now(),
-        }
+        Machine { began: gone_by() }
     }
 }
 
 impl Clock for Machine {
     fn now(&self) -> Now {
         Now {
-            mono: self.began.elapsed().as_millis() as u64,
+            mono: gone_by().saturating_sub(self.began),
             wall: SystemTime::now()
                 .duration_since(UNIX_EPOCH)
                 .map_or(0, |d| d.as_millis() as i64),
