--- a/sorreldoor/src/store/mirror.rs
+++ b/sorreldoor/src/store/mirror.rs
@@ -47,6 +47,7 @@
             }
             Save::Forgot(ids) => ids.iter().for_each(|id| {
                 self.noted.remove(id);
+                self.claims.retain(|(i, _)| i != id);
             }),
             Save::Snap { snap, reset } => {
                 let n = snap.last.idx.saturating_sub(self.base().idx) as usize;
@@ -91,3 +92,38 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::record::{decode, encode};
+
+    /// What the release before kept on disk, as it wrote it.
+    #[derive(Serialize)]
+    struct Before {
+        hard: Hard,
+        snap: Option<Snap>,
+        entries: Vec<Entry>,
+        claims: VecDeque<(String, u128)>,
+        seq: u64,
+    }
+
+    #[test]
+    fn what_the_release_before_kept_is_read() {
+        let b = Before {
+            hard: Hard::default(),
+            snap: None,
+            entries: Vec::new(),
+            claims: VecDeque::from([("old".to_string(), 7)]),
+            seq: 3,
+        };
+        let mut m: Mirror = decode(&encode(&b)).expect("an image of the release before");
+        // its saves still stand in the log behind the image
+        m.take(4, &Save::Claims(vec![("later".into(), 8)]));
+        let (id, by, keep_ms) = ("old".to_string(), 9, 5);
+        m.take(5, &Save::Noted(vec![Noted { id, by, keep_ms }]));
+        let kept = m.kept().claims;
+        let by = |id: &str| kept.iter().find(|n| n.id == id).map(|n| n.by);
+        assert_eq!((kept.len(), by("old"), by("later")), (2, Some(9), Some(8)));
+    }
+}
--- a/sorreldoor/src/wire.rs
+++ b/sorreldoor/src/wire.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 
 /// Raised when a frame changes in a way that an older node cannot read.
-pub const PROTO: u16 = 1;
+pub const PROTO: u16 = 2;
 pub const MOST_FRAME: usize = 4 << 20;
 
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
