--- a/rig/tests/doors/main.rs
+++ b/rig/tests/doors/main.rs
@@ -302,8 +302,36 @@
     std::fs::write(&patch, r#"{"groups":{},"services":{}}"#).unwrap();
     let (code, text) = f.ctl(edge, &["check", &file]);
     assert!(code == 1 && text.contains("routes: is missing"), "{text}");
-    let (code, text) = f.ctl(core, &["evacuate", "s1", "--base", "2"]);
-    assert_eq!((code, &text[..]), (0, "taken as serial 3\n"));
+    let (code, text) = f.ctl(
+        edge,
+        &[
+            "placement",
+            "--route",
+            "verdict",
+            "--key",
+            "k7",
+            "--region",
+            "north",
+        ],
+    );
+    assert!(
+        code == 0 && text.contains("worker: north-gpu0 in n1 (north)"),
+        "{code} {text}"
+    );
+    assert!(text.contains("highest-ranked"), "{text}");
+    let (code, text) = f.ctl(edge, &["placement", "--route", "nowhere"]);
+    assert!(code == 1 && text.contains("unknown-route"), "{code} {text}");
+    let (code, text) = f.ctl(core, &["evacuate", "s1", "--base", "2", "--wait", "30"]);
+    assert_eq!(code, 0, "{text}");
+    assert!(
+        text.starts_with("taken as serial 3\n") && text.ends_with("zone s1 is empty\n"),
+        "{text}"
+    );
+    // what the evacuated region had goes to the other, and people can see why
+    assert!(f.until(LONG, |f| {
+        let (code, text) = f.ctl(f.edges()[0], &["status"]);
+        code == 0 && text.contains("s1    true")
+    }));
     let (code, text) = f.ctl(core, &["return", "s1", "--base", "3", "--json"]);
     assert!(code == 0 && text.contains("\"serial\":4"), "{text}");
     let (code, text) = f.ctl(core, &["status"]);
--- a/sorreldoor/src/core/status.rs
+++ b/sorreldoor/src/core/status.rs
@@ -77,6 +77,15 @@
         let _ = c.insert("most", self.claims.book.most());
         let _ = c.insert("sure", self.sure());
         let _ = v.insert("claims", c);
+        let emptied = self.agree.as_ref().map(|a| a.machine().view().emptied);
+        let zones = crate::ops::zones(
+            &self.site,
+            &emptied.unwrap_or_default(),
+            self.roster.as_ref().map_or(&[][..], |r| &r.workers),
+            &self.loads,
+            self.all_seats(),
+        );
+        let _ = v.insert("zones", zones);
         let _ = v.insert("edges", self.edges());
         let _ = v.insert("workers", self.workers());
         let _ = v.insert(
--- a/sorreldoor/src/ctl/mod.rs
+++ b/sorreldoor/src/ctl/mod.rs
@@ -1,6 +1,7 @@
 //! The operators' client: HTTP to any node, text or JSON out, useful exits.
 
 mod show;
+mod watch;
 
 use crate::http::{self, Broke, Call, Called};
 use crate::js::{self, Val};
@@ -55,6 +56,21 @@
     DropCore(One),
     #[options(help = "show nodes, leaders, workers")]
     Status(Bare),
+    #[options(help = "show where an errand would go, and why: placement --route R")]
+    Placement(Placement),
+}
+
+#[derive(Debug, Options)]
+struct Placement {
+    help: bool,
+    #[options(no_short, help = "print the node's JSON as it came")]
+    json: bool,
+    #[options(no_short, help = "the errand's route", meta = "R")]
+    route: Option<String>,
+    #[options(no_short, help = "what prefix it shares", meta = "K")]
+    key: Option<String>,
+    #[options(no_short, help = "the caller's region", meta = "X")]
+    region: Option<String>,
 }
 
 #[derive(Debug, Options)]
@@ -84,6 +100,12 @@
     json: bool,
     #[options(free)]
     zone: String,
+    #[options(
+        no_short,
+        help = "wait so long for the zone's running work to end",
+        meta = "SECONDS"
+    )]
+    wait: Option<u64>,
     #[options(help = "serial this builds on", meta = "N")]
     base: Option<u64>,
     #[options(no_short, help = "proposal id, to ask again under it", meta = "HEX")]
@@ -127,11 +149,13 @@
             What::Put(f) | What::Edit(f) | What::Check(f) | What::Diff(f) => f.json,
             What::Evacuate(z) | What::Drain(z) | What::Return(z) => z.json,
             What::Ask(o) | What::DropCore(o) => o.json,
+            What::Placement(p) => p.json,
         };
     let c = Ctl { at, json };
     match what {
         What::Get(_) => c.read("/v1/setup", show::setup),
         What::Status(_) => c.read("/v1/status", show::status),
+        What::Placement(p) => c.placement(p),
         What::Put(f) => c.file(Method::Put, f),
         What::Edit(f) => c.file(Method::Patch, f),
         What::Check(f) => c.check(&f.file),
@@ -258,7 +282,11 @@
 
     fn zone(&self, z: Zone, what: &str) -> i32 {
         let path = format!("/v1/zones/{}/{what}", z.zone);
-        self.based(&path, Method::Post, Vec::new(), z.base, z.id)
+        let done = self.based(&path, Method::Post, Vec::new(), z.base, z.id);
+        match z.wait.filter(|_| done == DONE) {
+            Some(s) => self.watch(&z.zone, Duration::from_secs(s)),
+            None => done,
+        }
     }
 
     fn based(
--- a/sorreldoor/src/ctl/show.rs
+++ b/sorreldoor/src/ctl/show.rs
@@ -99,6 +99,30 @@
     s
 }
 
+pub fn placement(v: &Val) -> String {
+    let mut s = String::new();
+    for k in ["route", "key", "region", "serial", "service", "why"] {
+        s += &format!("{k}: {}\n", text(v, k));
+    }
+    let none = Val::default();
+    let w = v.get("worker").unwrap_or(&none);
+    if w.is_object() {
+        let part = |k: &str| text(w, k);
+        let (name, zone, region) = (part("name"), part("zone"), part("region"));
+        let (busy, slots) = (part("busy"), part("slots"));
+        s += &format!("worker: {name} in {zone} ({region}), {busy} of {slots} busy\n");
+    }
+    s += &format!(
+        "spilt: {} (limits {})\n",
+        text(v, "spilt"),
+        text(v, "spill")
+    );
+    let edges: Vec<String> = rows(v, "edges").iter().map(plain).collect();
+    s += &format!("edges: {}\n", edges.join(", "));
+    let cols = ["service", "weight", "set", "least", "most"];
+    s + &table("services, in order", &cols, rows(v, "services"))
+}
+
 pub fn status(v: &Val) -> String {
     let mut s = String::new();
     for k in [
@@ -114,12 +138,15 @@
         "duty",
         "permit_left_ms",
         "counts",
+        "claims",
         "roster_problem",
     ] {
         if v.get(k).is_some_and(|x| !x.is_null()) {
             s += &format!("{k}: {}\n", text(v, k));
         }
     }
+    let cols = ["zone", "emptied", "at_workers", "at_edges"];
+    s += &table("zones", &cols, rows(v, "zones"));
     if v.get("cores").is_some() {
         let cols = ["id", "zone", "addr", "voter", "live"];
         s += &table("cores", &cols, rows(v, "cores"));
--- a/sorreldoor/src/edge/api.rs
+++ b/sorreldoor/src/edge/api.rs
@@ -41,6 +41,7 @@
             (Method::Get, "/ready") => self.ready().await,
             (Method::Get, "/v1/where") => self.whither(&req).await,
             (Method::Get, "/v1/status") => self.status().await,
+            (Method::Get, "/v1/placement") => self.placement(&req).await,
             _ if path.starts_with("/v1/errand/") => {
                 return self.errand(&mut req, &path, peer).await;
             }
@@ -88,18 +89,33 @@
             .transpose()
     }
 
+    /// An errand as a query describes it.
+    fn described(&self, req: &Request) -> Result<Asked, Problem> {
+        let home = self.home(http::query(req, "region"))?;
+        Ok(Asked {
+            route: http::query(req, "route").ok_or(Problem::BadErrand)?,
+            key: http::query(req, "key").unwrap_or_default(),
+            id: ops::pid_text(ops::fresh_pid()),
+            home,
+            adapter: http::query(req, "adapter"),
+            ..Asked::default()
+        })
+    }
+
+    async fn placement(&self, req: &Request) -> Response {
+        let asked = match self.described(req) {
+            Ok(a) => a,
+            Err(p) => return http::shed(p, "", 1),
+        };
+        match self.soon(|rid| HallEvent::Explain { rid, asked }).await {
+            Some(Reply::Status { text, .. }) => http::json(200, text),
+            Some(Reply::Where(Err(p))) => http::shed(p, "", 1),
+            _ => http::shed(Problem::Leaving, "", 1),
+        }
+    }
+
     async fn whither(&self, req: &Request) -> Response {
-        let asked = self.home(http::query(req, "region")).and_then(|home| {
-            let route = http::query(req, "route").ok_or(Problem::BadErrand)?;
-            Ok(Asked {
-                route,
-                key: http::query(req, "key").unwrap_or_default(),
-                home,
-                adapter: http::query(req, "adapter"),
-                ..Asked::default()
-            })
-        });
-        let asked = match asked {
+        let asked = match self.described(req) {
             Ok(a) => a,
             Err(p) => return http::shed(p, "", 1),
         };
--- a/sorreldoor/src/edge/hall.rs
+++ b/sorreldoor/src/edge/hall.rs
@@ -48,6 +48,11 @@
         rid: u64,
         pid: Pid,
     },
+    /// What would become of such an errand now, of a caller in that region.
+    Explain {
+        rid: u64,
+        asked: Asked,
+    },
     /// Read the setup, proved current from now on.
     Look {
         rid: u64,
@@ -116,6 +121,7 @@
             HallEvent::Where { rid, asked } => self.whither(rid, asked),
             HallEvent::Change { rid, pid, cmd } => self.change(rid, Payload::Op { rid, pid, cmd }),
             HallEvent::Find { rid, pid } => self.change(rid, Payload::OpFind { rid, pid }),
+            HallEvent::Explain { rid, asked } => self.explain(rid, asked),
             HallEvent::Look { rid } => self.look(rid),
             HallEvent::Status { rid } => {
                 let s = self.status().encode();
@@ -280,6 +286,24 @@
         self.out.push(HallFx::Where(rid, r));
     }
 
+    fn explain(&mut self, rid: u64, a: Asked) {
+        let region = a.home.unwrap_or(self.plan.region);
+        let told = self.closed().map_or(Ok(()), Err).and_then(|()| {
+            if region == self.plan.region {
+                return self.table.explain(&self.plan, a);
+            }
+            // why: only an edge of that region knows what it would do
+            let all = self.plan.edges_for(Some(region), true, &a.key);
+            let mut v = Val::object();
+            let _ = v.insert("ask", all.first().cloned().ok_or(Problem::NoWorker)?);
+            Ok(v)
+        });
+        self.out.push(match told {
+            Ok(v) => HallFx::Status(rid, v.encode()),
+            Err(p) => HallFx::Where(rid, Err(p)),
+        });
+    }
+
     fn change(&mut self, rid: u64, p: Payload) {
         let Some(c) = self.pull.conn else {
             // why: nothing has left this node, so it is surely not taken
@@ -320,6 +344,15 @@
         let _ = v.insert("core", self.pull.dialled.map(|a| a.to_string()));
         let _ = v.insert("leaving", self.leaving);
         let _ = v.insert("open_errands", self.table.rows.len());
+        let s = &self.plan.shown;
+        let zones = crate::ops::zones(
+            &self.plan.site,
+            &s.view.emptied,
+            &s.roster.workers,
+            &s.loads,
+            &s.seats.1,
+        );
+        let _ = v.insert("zones", zones);
         let mut n = Val::object();
         for (k, x) in [
             ("first", c.first),
--- a/sorreldoor/src/errand/mod.rs
+++ b/sorreldoor/src/errand/mod.rs
@@ -5,6 +5,7 @@
 mod budget;
 mod claims;
 mod ends;
+mod explain;
 mod passes;
 mod plan;
 
--- a/sorreldoor/src/errand/passes.rs
+++ b/sorreldoor/src/errand/passes.rs
@@ -158,7 +158,7 @@
         }
     }
 
-    fn place(&self, p: &Plan, e: &Errand) -> Option<((u16, usize), bool)> {
+    pub(super) fn place(&self, p: &Plan, e: &Errand) -> Option<((u16, usize), bool)> {
         let s = p.setup.as_ref()?;
         let r = s.routes.get(e.route as usize)?;
         let a = Ask {
--- a/sorreldoor/src/ops.rs
+++ b/sorreldoor/src/ops.rs
@@ -5,8 +5,9 @@
 use crate::js::Val;
 use crate::problem::Problem;
 use crate::record::{Cmd, Outcome};
+use crate::roster::{Loads, Worker};
 use crate::setup::{self, Site};
-use crate::wire::OpOutcome;
+use crate::wire::{OpOutcome, Seat};
 use http_types::{Method, Request, Response};
 use simd_json::prelude::*;
 use std::time::Duration;
@@ -203,3 +204,26 @@
     let _ = v.insert("emptied", list(emptied));
     http::ok(v)
 }
+
+/// Zone by zone: whether it is emptied, and what still runs there.
+pub fn zones(
+    site: &Site,
+    emptied: &[u16],
+    workers: &[Worker],
+    loads: &Loads,
+    seats: &[Seat],
+) -> Vec<Val> {
+    let row = |z: u16, name: &str| {
+        let mine = workers.iter().filter(|w| w.zone == z);
+        let busy = |w: &Worker| loads.of(&w.name).map_or(0, |l| l.running + l.queued);
+        let edges = seats.iter().filter(|s| !s.hello.core && s.hello.zone == z);
+        let mut o = Val::object();
+        let _ = o.insert("zone", name);
+        let _ = o.insert("emptied", emptied.contains(&z));
+        let _ = o.insert("at_workers", mine.map(busy).sum::<u32>());
+        let _ = o.insert("at_edges", edges.map(|s| s.running).sum::<u32>());
+        o
+    };
+    let names = site.zones.iter().enumerate();
+    names.map(|(z, (n, _))| row(z as u16, n)).collect()
+}
