--- a/sorreldoor/src/ctl/watch.rs
+++ b/sorreldoor/src/ctl/watch.rs
@@ -4,6 +4,9 @@
 use super::*;
 use std::time::Instant;
 
+/// From a yes until no edge acts on an older setup and reports have come in.
+const SURE: Duration = Duration::from_secs(4);
+
 impl Ctl {
     pub(super) fn placement(&self, p: Placement) -> i32 {
         let Some(route) = p.route else {
@@ -30,11 +33,14 @@
 
     /// Wait until nothing runs in a zone; what is left is told.
     pub(super) fn watch(&self, zone: &str, most: Duration) -> i32 {
-        let end = Instant::now() + most;
+        // why: until then an edge may not know of it yet, and what it sends
+        // may not be in any report
+        let sure = Instant::now() + SURE;
+        let end = sure.max(Instant::now() + most);
         let mut last = None;
         loop {
             let left = self.left(zone);
-            if left == Some((0, 0)) {
+            if left == Some((0, 0)) && Instant::now() >= sure {
                 println!("zone {zone} is empty");
                 return DONE;
             }
