--- a/sorreldoor/src/lib.rs
+++ b/sorreldoor/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod ops;
 pub mod place;
 pub mod problem;
+pub mod proxy;
 pub mod pull;
 pub mod record;
 pub mod roster;
--- a/sorreldoor/src/setup/mod.rs
+++ b/sorreldoor/src/setup/mod.rs
@@ -1,6 +1,7 @@
 //! The operator's setup: one whole document, read once, names made dense.
 
 mod check;
+pub mod hosted;
 
 pub use check::{read, MOST_BYTES};
 
