Hosted setups are read; operators give serials, change items, evacuate zones

Cause: the users' platform speaks of routes by host and path, names its own versions, edits single items and evacuates zones on top of any version; the record knew none of it. Ruled out: translating an edit to a whole document outside the record (two edits on one base would both seem to fit); RFC 7396 patches (lists of named items have no key to merge by). Before: setups of at most 256 KiB, serials rise by one, bytes in frames and saves as lists of numbers (10 kB of 200s took 20 kB).

--- a/rig/src/site/mod.rs
+++ b/rig/src/site/mod.rs
@@ -245,6 +245,7 @@
         let base = 0;
         let cmd = sorreldoor::record::Cmd::Put {
             base,
+            to: None,
             doc: doc.to_string(),
         };
         let at = w.cores()[0];
--- a/rig/src/site/operators.rs
+++ b/rig/src/site/operators.rs
@@ -29,6 +29,8 @@
         let pid = u128::from(rid) + (1 << 80);
         let (base, zone) = match &cmd {
             Cmd::Put { base, .. } | Cmd::Edit { base, .. } => (*base, None),
+            Cmd::Items { base, .. } => (*base, None),
+            Cmd::Evacuate { zone, emptied } => (0, Some((*zone, *emptied))),
             Cmd::Zone {
                 base,
                 zone,
--- a/sorreldoor/src/agree/types.rs
+++ b/sorreldoor/src/agree/types.rs
@@ -3,6 +3,12 @@
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 
+/// Bytes as one string of bytes, not as a list of numbers, which takes twice
+/// the room; either is read.
+fn as_bytes<S: serde::Serializer>(b: &Arc<Vec<u8>>, s: S) -> Result<S::Ok, S::Error> {
+    s.serialize_bytes(b)
+}
+
 /// A core's identity: random, made on its first start, never given twice.
 pub type Nid = u64;
 /// A region as a dense index into the site's list.
@@ -24,7 +30,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Body {
     Noop,
-    Data(Arc<Vec<u8>>),
+    Data(#[serde(serialize_with = "as_bytes")] Arc<Vec<u8>>),
     Members(Vec<Member>),
 }
 
@@ -56,6 +62,7 @@
 pub struct Snap {
     pub last: Last,
     pub members: Vec<Member>,
+    #[serde(serialize_with = "as_bytes")]
     pub image: Arc<Vec<u8>>,
 }
 
@@ -165,6 +172,7 @@
     },
     Answered {
         pid: Pid,
+        #[serde(serialize_with = "as_bytes")]
         outcome: Arc<Vec<u8>>,
     },
     ReadAsk {
--- a/sorreldoor/src/record/apply.rs
+++ b/sorreldoor/src/record/apply.rs
@@ -10,13 +10,22 @@
 impl Record {
     fn run(&mut self, cmd: Cmd) -> Outcome {
         match cmd {
-            Cmd::Put { base, doc } => self.based(base, |r| r.put(doc.into_bytes())),
-            Cmd::Edit { base, patch } => self.based(base, |r| r.edit(&patch)),
+            Cmd::Put { base, to, doc } => self.based(base, to, |r| r.put(doc.into_bytes())),
+            Cmd::Edit { base, patch } => self.based(base, None, |r| r.edit(&patch)),
+            Cmd::Items {
+                base,
+                to,
+                set,
+                drop,
+            } => self.based(base, to, |r| r.items(&set, &drop)),
+            Cmd::Evacuate { zone, emptied } => self
+                .zone(zone, emptied)
+                .map_or_else(|faults| Outcome::Bad { faults }, |()| self.changed()),
             Cmd::Zone {
                 base,
                 zone,
                 emptied,
-            } => self.based(base, |r| r.zone(zone, emptied)),
+            } => self.based(base, None, |r| r.zone(zone, emptied)),
             Cmd::Duty { holder, above } => {
                 // why: two that raced for the duty must not both think they hold it
                 if above != self.kept.epoch {
@@ -61,6 +70,7 @@
     fn based(
         &mut self,
         base: u64,
+        to: Option<u64>,
         f: impl FnOnce(&mut Record) -> Result<(), Vec<String>>,
     ) -> Outcome {
         // why: of two changes that build on one serial, only the first may win
@@ -71,10 +81,18 @@
             }
             return Outcome::Stale { serial };
         }
+        let serial = to.unwrap_or(self.kept.serial + 1);
+        if serial <= self.kept.serial {
+            let faults = vec![format!(
+                "serial: {serial} is not above {}",
+                self.kept.serial
+            )];
+            return Outcome::Bad { faults };
+        }
         f(self).map_or_else(
             |faults| Outcome::Bad { faults },
             |()| {
-                self.kept.serial += 1;
+                self.kept.serial = serial;
                 self.changed()
             },
         )
@@ -102,6 +120,18 @@
         self.put(js::canon(&v).into_bytes())
     }
 
+    fn items(&mut self, set: &str, drop: &str) -> Result<(), Vec<String>> {
+        let one = |e: String| vec![format!("items: {e}")];
+        let part = |t: &str| js::parse(t.as_bytes(), setup::MOST_BYTES).map_err(one);
+        let (set, drop) = (part(set)?, part(drop)?);
+        let doc = match &self.kept.doc {
+            Some(d) => js::parse(d.as_bytes(), usize::MAX).map_err(one)?,
+            None => js::Val::default(),
+        };
+        let v = super::items::changed(&doc, &set, &drop).map_err(one)?;
+        self.put(js::canon(&v).into_bytes())
+    }
+
     fn zone(&mut self, zone: u16, emptied: bool) -> Result<(), Vec<String>> {
         if self.site.zone_name(zone) == "?" {
             return Err(vec![format!("zone: there is no zone {zone}")]);
--- a/sorreldoor/src/record/mod.rs
+++ b/sorreldoor/src/record/mod.rs
@@ -1,6 +1,7 @@
 //! The replicated state that the system acts on, and how entries change it.
 
 mod apply;
+mod items;
 
 use crate::agree::Pid;
 use crate::setup::{Setup, Site};
@@ -11,8 +12,12 @@
 /// What a proposal asks of the record.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Cmd {
+    /// The whole document. Where `to` is given it is the new serial and must
+    /// be above the present one; else the serial rises by one.
     Put {
         base: u64,
+        #[serde(default)]
+        to: Option<u64>,
         doc: String,
     },
     /// An RFC 7396 merge patch on the document.
@@ -40,6 +45,21 @@
         region: u8,
         state: Recovery,
     },
+    /// Items of the `hosted` part by name, as JSON objects: `set` holds lists
+    /// of whole items under `routes` and `services`, and whatever else is to
+    /// be replaced there; `drop` holds lists of names.
+    Items {
+        base: u64,
+        #[serde(default)]
+        to: Option<u64>,
+        set: String,
+        drop: String,
+    },
+    /// Like `Zone`, on top of whatever is there, and without a new serial.
+    Evacuate {
+        zone: u16,
+        emptied: bool,
+    },
 }
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
--- a/sorreldoor/src/setup/check.rs
+++ b/sorreldoor/src/setup/check.rs
@@ -1,10 +1,11 @@
 //! Reading and checking a setup as a whole: all of it, or every fault.
 
-use super::{Group, Kind, Route, Service, Setup, Share, Site, Warm};
+use super::{hosted_read, Group, Kind, Route, Service, Setup, Share, Site, Warm};
 use crate::js::{self, join, Faults, Obj, Val};
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
-pub const MOST_BYTES: usize = 256 * 1024;
+pub const MOST_BYTES: usize = 4 << 20;
 
 pub fn read(text: &[u8], site: &Site) -> Result<(Setup, Val), Vec<String>> {
     let v = js::parse(text, MOST_BYTES).map_err(|e| vec![format!("setup: {e}")])?;
@@ -14,9 +15,12 @@
 }
 
 fn whole(v: &Val, site: &Site, f: &mut Faults) -> Option<Setup> {
-    let o = f.object(v, "", &["groups", "services", "routes", "spill", "retry"])?;
+    let keys = ["groups", "services", "routes", "spill", "retry", "hosted"];
+    let o = f.object(v, "", &keys)?;
+    let hosted = o.get("hosted").and_then(|h| hosted_read::read(h, site, f));
+    let only = o.get("hosted").is_some();
     for k in ["groups", "services", "routes"] {
-        if o.get(k).is_none() {
+        if o.get(k).is_none() && !only {
             f.add(k, "is missing");
         }
     }
@@ -35,7 +39,7 @@
         .into_iter()
         .filter_map(|(n, v)| route(n, v, &services, &groups, f))
         .collect();
-    if routes.is_empty() && f.none() {
+    if routes.is_empty() && !only && f.none() {
         f.add("routes", "must name at least one route");
     }
     let spill = spill(o.get("spill"), site, f);
@@ -50,6 +54,7 @@
         routes,
         spill,
         retry_percent,
+        hosted: hosted.map(Arc::new),
     })
 }
 
--- a/sorreldoor/src/setup/hosted.rs
+++ b/sorreldoor/src/setup/hosted.rs
@@ -1,7 +1,6 @@
 //! Hosted routes: requests told apart by host and path, carried byte for byte
 //! to workers of a service, under the operator's shares, bounds and homes.
 
-use crate::js::Val;
 use std::collections::HashMap;
 
 /// What may be done again with a request that may have run.
@@ -93,23 +92,37 @@
     }
 }
 
+/// So few routes of a host are looked through one by one.
+const FEW: usize = 16;
+
 /// The `hosted` part of a setup; names are made dense.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Hosted {
     pub routes: Vec<Route>,
     pub services: Vec<Service>,
     pub limits: Limits,
-    /// Routes of a host, those with the longest prefix first.
+    /// Routes of a host, in lower case: those with the longest prefix first, then
+    /// by the prefix.
     pub by_host: HashMap<String, Vec<u32>>,
 }
 
 impl Hosted {
-    /// The route whose prefix begins the path and is longest.
+    /// The route whose prefix begins the path and is longest; hosts are
+    /// compared without regard to case.
     pub fn find(&self, host: &str, path: &str) -> Option<u32> {
-        let rs = self.by_host.get(host)?;
-        rs.iter()
-            .copied()
-            .find(|i| path.starts_with(self.routes[*i as usize].prefix.as_str()))
+        let rs = match self.by_host.get(host) {
+            Some(rs) => rs,
+            None => self.by_host.get(&host.to_ascii_lowercase())?,
+        };
+        let prefix = |i: &u32| self.routes[*i as usize].prefix.as_str();
+        if rs.len() <= FEW {
+            return rs.iter().copied().find(|i| path.starts_with(prefix(i)));
+        }
+        // why: a host may have thousands of routes, a path has few slashes
+        let ends = path.bytes().enumerate().rev().filter(|(_, b)| *b == b'/');
+        ends.map(|(n, _)| &path[..=n])
+            .find_map(|p| rs.binary_search_by(|i| order(prefix(i), p)).ok())
+            .map(|n| rs[n])
     }
 
     pub fn service(&self, name: &str) -> Option<u16> {
@@ -118,7 +131,7 @@
     }
 }
 
-/// Reads the `hosted` part of a document; faults are added under their path.
-pub fn read(_v: &Val, _site: &super::Site, _f: &mut crate::js::Faults) -> Option<Hosted> {
-    None
+/// Prefixes in the order they are tried: longer ones first.
+pub(super) fn order(a: &str, b: &str) -> std::cmp::Ordering {
+    b.len().cmp(&a.len()).then_with(|| a.cmp(b))
 }
--- a/sorreldoor/src/setup/mod.rs
+++ b/sorreldoor/src/setup/mod.rs
@@ -2,10 +2,12 @@
 
 mod check;
 pub mod hosted;
+mod hosted_read;
 
 pub use check::{read, MOST_BYTES};
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 /// Names of the site's regions and zones, in order; indices are dense.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -90,7 +92,7 @@
     pub shares: Vec<Share>,
 }
 
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Setup {
     pub groups: Vec<Group>,
     pub services: Vec<Service>,
@@ -99,6 +101,8 @@
     pub spill: BTreeMap<(u8, u8), u32>,
     /// Most retries in percent of first tries.
     pub retry_percent: u32,
+    /// Routes told apart by host and path, if there are any.
+    pub hosted: Option<Arc<hosted::Hosted>>,
 }
 
 impl Setup {
--- a/sorreldoor/src/wire.rs
+++ b/sorreldoor/src/wire.rs
@@ -9,7 +9,8 @@
 
 /// Raised when a frame changes in a way that an older node cannot read.
 pub const PROTO: u16 = 2;
-pub const MOST_FRAME: usize = 4 << 20;
+/// The largest setup fits in, with the outcomes a snapshot keeps beside it.
+pub const MOST_FRAME: usize = 16 << 20;
 
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Hello {
