Table of hosted requests: routing, placement, waits, limits, budgets, ejection

Cause: hosted routes need one pure place that decides where a request goes. Ruled out: shares of time slots for cold workers and slack, since nodes share no clock; shares hang on names alone. Before: only the words of the table. Worker gains slots, cold_ms and leaves_ms (default 0, 0, none).

--- a/rig/src/site/workers.rs
+++ b/rig/src/site/workers.rs
@@ -81,6 +81,9 @@
                 zone,
                 region,
                 leaving: false,
+                slots: 0,
+                cold_ms: 0,
+                leaves_ms: None,
             });
             self.workers.push(Wk {
                 name,
--- a/sorreldoor/src/proxy/table/mod.rs
+++ b/sorreldoor/src/proxy/table/mod.rs
@@ -1,6 +1,21 @@
 //! The table of requests under way, and where each may go: pure, in
 //! milliseconds of a monotonic clock that is handed in.
 
+mod budget;
+mod hash;
+mod health;
+mod kept;
+mod nodes;
+mod pick;
+mod rank;
+mod reqs;
+mod signs;
+mod spot;
+mod state;
+mod waits;
+
+pub use state::{Counts, Table};
+
 use crate::agree::Ms;
 use crate::problem::Problem;
 use std::net::SocketAddr;
--- /dev/null
+++ b/sorreldoor/src/proxy/table/pick.rs
@@ -0,0 +1,213 @@
+//! Where a request goes now, whether it waits, or why it is not sent.
+
+use super::rank::{Choice, Offer};
+use super::reqs::{weighted, Req, Sending};
+use super::state::Table;
+use super::waits::{Line, Rank, TICK};
+use super::{Pick, Rid, Target};
+use crate::agree::Ms;
+use crate::problem::Problem;
+use crate::setup::hosted::Route;
+
+/// With less time left nothing is sent any more, in milliseconds.
+const TOO_LATE: Ms = 5;
+/// When to come back after a refusal, in milliseconds.
+const AGAIN: (Ms, Ms) = (100, 400);
+
+impl Table {
+    /// The service next in this request's own order behind `after`, and its
+    /// place in that order.
+    pub(super) fn drawn(&self, r: &Req, route: &Route, after: f64) -> Option<(u32, f64)> {
+        // why: one prefix must keep to one service, or it is read twice
+        let draw = r.key().filter(|_| route.sticky).unwrap_or(r.draw);
+        let all = route.split.iter().filter(|(_, w)| *w > 0);
+        all.filter_map(|(c, w)| {
+            let i = *self.svc_of.get(*c as usize)?;
+            Some((i, weighted(draw, self.svcs[i as usize].hash, *w)))
+        })
+        .filter(|(_, at)| *at > after)
+        .min_by(|a, b| a.1.total_cmp(&b.1))
+    }
+
+    /// Decides on a request, under the configuration in force.
+    pub fn pick(&mut self, rid: Rid, now: Ms) -> Pick {
+        self.tick(now);
+        self.unwait(rid);
+        if self.reqs.get(rid).is_some_and(|r| r.sending.is_some()) {
+            // why: it may be at one worker only; the last sending has no word left
+            self.heard(rid, super::Heard::Left, now);
+        }
+        let (Some(h), Some(mut r)) = (self.hosted.clone(), self.reqs.lend(rid)) else {
+            return Pick::Refuse(Problem::GivenUp, 0);
+        };
+        self.refind(&mut r, &h);
+        let route = r.route.and_then(|i| h.routes.get(i as usize));
+        let p = self.decide(rid, &mut r, route, now);
+        self.reqs.back(rid, r);
+        self.counts.refused += u64::from(matches!(p, Pick::Refuse(..)));
+        p
+    }
+
+    fn decide(&mut self, rid: Rid, r: &mut Req, route: Option<&Route>, now: Ms) -> Pick {
+        // why: what may have run must not run twice, whatever the routes say now
+        if r.may_have_run && (r.once || !route.is_some_and(|x| x.repeatable())) {
+            return Pick::Refuse(Problem::OutcomeUnknown, 0);
+        }
+        let Some(route) = route else {
+            return Pick::Refuse(Problem::UnknownRoute, 0);
+        };
+        if r.deadline < now + TOO_LATE {
+            return self.refuse(r, Problem::GivenUp, now);
+        }
+        let last = r.last.unwrap_or(Problem::NoWorker);
+        if r.sent >= route.attempts.max(1) {
+            return self.refuse(r, last, now);
+        }
+        let Some((first, _)) = self.drawn(r, route, 0.0) else {
+            return self.refuse(r, Problem::NoWorker, now);
+        };
+        let homes = route.homes.iter().fold(0u64, |m, x| m | 1 << (x & 63));
+        let line = (first, homes);
+        let rank = (route.priority, r.arrived, rid);
+        let until = r.arrived + patience(route, r.arrived_once);
+        let fresh = r.tried.is_empty();
+        if fresh && now < until && self.waits.before(line, rank) {
+            return self.wait(r, line, rank, until, now);
+        }
+        let (svc, o) = self.offers(r, route, now);
+        let slack = self.slack(svc);
+        let b = &self.bounds;
+        if r.arrived_once && !self.svcs[svc as usize].budget.fits(b, slack, now) {
+            return self.refuse(r, last, now);
+        }
+        if let Some(c) = o.best() {
+            return self.go(r, svc, c, route, now);
+        }
+        if now < until {
+            return self.wait(r, line, rank, until, now);
+        }
+        // why: a refusal while half the places are free is worse than a queue
+        if let Some(c) = o.full.filter(|_| o.taken * 2.0 < o.slots) {
+            return self.go(r, svc, c, route, now);
+        }
+        self.refuse(r, Problem::NoWorker, now)
+    }
+
+    fn wait(&mut self, r: &mut Req, line: Line, rank: Rank, until: Ms, now: Ms) -> Pick {
+        self.counts.waited += u64::from(!std::mem::replace(&mut r.waited, true));
+        // why: one that shuns a worker must not hold up those behind it
+        if r.tried.is_empty() {
+            r.waits = Some((line, rank));
+            self.waits.put(line, rank, now);
+        }
+        Pick::Wait(until.saturating_sub(now).clamp(1, TICK))
+    }
+
+    /// The first service in the request's order that has workers for it.
+    fn offers(&mut self, r: &Req, route: &Route, now: Ms) -> (u32, Offer) {
+        let first = self.drawn(r, route, 0.0).map_or(0, |s| s.0);
+        for out in [false, true] {
+            let mut after = 0.0;
+            while let Some((s, at)) = self.drawn(r, route, after) {
+                let o = self.offer(s, r, route, out, now);
+                if o.eligible > 0 {
+                    return (s, o);
+                }
+                after = at;
+            }
+        }
+        (first, Offer::default())
+    }
+
+    /// This node's part of the further sendings that need no requests.
+    fn slack(&self, svc: u32) -> u32 {
+        let s = self.bounds.retry_slack * super::budget::SAFE_SLACK;
+        self.nodes.part(s, self.svcs[svc as usize].hash)
+    }
+
+    fn refuse(&mut self, r: &Req, p: Problem, now: Ms) -> Pick {
+        // why: 503 promises that it did not run
+        let p = match r.may_have_run {
+            true => Problem::WorkerBroke,
+            false => p,
+        };
+        // why: callers heed it up to a third of the time that they have left
+        let most = r.deadline.saturating_sub(now) / 3;
+        let (lo, hi) = AGAIN;
+        let at = lo + (self.draw.unit() * (hi - lo) as f64) as Ms;
+        Pick::Refuse(p, if p.again() { at.min(most) } else { 0 })
+    }
+
+    fn go(&mut self, r: &mut Req, svc: u32, c: Choice, route: &Route, now: Ms) -> Pick {
+        let conf = self.conf(svc);
+        let engine = conf.and_then(|s| s.engine);
+        let conns = conf.map_or(1, |s| s.max_conns);
+        let b = &self.bounds;
+        let Some(w) = self.spots[c.spot as usize].as_mut() else {
+            return Pick::Refuse(Problem::GivenUp, 0);
+        };
+        w.mine += 1;
+        w.note_sent(now);
+        w.reading += u64::from(c.reading);
+        if let Some(e) = engine {
+            // why: others' requests fill its memory too
+            w.kept.take(&r.parts, e.kv_tokens * 6 / 10);
+        }
+        let trial = w.health.out();
+        w.health.trial |= trial;
+        let booked = r.arrived_once;
+        if booked {
+            self.svcs[svc as usize].budget.spent(b, now);
+            self.counts.retried += 1;
+        }
+        let all: u32 = r.parts.iter().map(|p| p.tokens).sum();
+        self.counts.read += u64::from(c.reading);
+        self.counts.hit += u64::from(all.max(r.tokens_in).saturating_sub(c.reading));
+        r.once |= !route.repeatable();
+        r.tried.push(c.spot);
+        r.sent += 1;
+        r.sending = Some(Sending {
+            spot: c.spot,
+            at: now,
+            hit: c.hit,
+            reading: c.reading,
+            began: false,
+            trial,
+            booked,
+        });
+        let t = Target {
+            worker: c.spot,
+            name: w.name.clone(),
+            addr: w.addr,
+            left_ms: r.deadline.saturating_sub(now),
+            priority: engine.map(|_| route.priority.min(9)),
+            max_conns: 1,
+        };
+        let key = w.hash;
+        Pick::Go(Target {
+            max_conns: self.conns(conns, key),
+            ..t
+        })
+    }
+
+    /// Connections to one worker that this node may hold.
+    fn conns(&self, all: u32, key: u64) -> u32 {
+        // why: a worker resets what is beyond the bound of all nodes
+        self.nodes.part(f64::from(all) * 0.9, key).max(1)
+    }
+}
+
+/// How long after its arrival a request may still wait, in milliseconds.
+fn patience(route: &Route, sent: bool) -> Ms {
+    let aim = match route.aim_ms {
+        0 => route.timeout_ms / 2,
+        a => a,
+    };
+    // why: refused within a quarter of the aim, another try can still be in time
+    let q = aim / 4;
+    if sent {
+        q * 2
+    } else {
+        q.saturating_sub(TICK / 2)
+    }
+}
--- /dev/null
+++ b/sorreldoor/src/proxy/table/rank.rs
@@ -0,0 +1,208 @@
+//! Which worker of a service a request is best sent to: what it costs there,
+//! in milliseconds for engines and in shares of a worker for others.
+
+use super::hash;
+use super::reqs::Req;
+use super::spot::Spot;
+use super::state::Table;
+use crate::agree::Ms;
+use crate::setup::hosted::{Route, Service};
+
+/// Fewer shared tokens than these are read anywhere at little cost.
+const SMALL: u32 = 256;
+/// A trial is made with prompts of up to so many tokens, if there are such.
+const LIGHT: u32 = 2000;
+
+/// A worker chosen, and what was assumed of it.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Choice {
+    pub spot: u32,
+    pub cost: f64,
+    pub load: f64,
+    pub hit: usize,
+    pub reading: u32,
+}
+
+/// What a service offers a request now.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Offer {
+    /// Workers that may take it at all.
+    pub eligible: u32,
+    /// The best with room: here, and in other regions.
+    pub here: Option<Choice>,
+    pub far: Option<Choice>,
+    /// The least loaded one that only its load keeps from it.
+    pub full: Option<Choice>,
+    /// Places of the eligible ones, and those taken.
+    pub slots: f64,
+    pub taken: f64,
+}
+
+impl Offer {
+    pub fn best(&self) -> Option<Choice> {
+        // why: another region is far; a worker here queues only briefly
+        self.here.or(self.far)
+    }
+}
+
+/// What of a request its cost rests on.
+#[derive(Clone, Copy)]
+struct Load {
+    tokens: u32,
+    shared: u32,
+    key: Option<u64>,
+}
+
+impl Table {
+    fn may(&self, w: &Spot, i: u32, r: &Req, route: &Route) -> bool {
+        w.open
+            && w.stale.is_none()
+            && !self.emptied.contains(&w.zone)
+            && (route.homes.is_empty() || route.homes.contains(&w.region))
+            && !r.tried.contains(&i)
+    }
+
+    /// Where this request could go among a service's workers. With `out`, those
+    /// put out are looked at as well.
+    pub(super) fn offer(&mut self, svc: u32, r: &Req, route: &Route, out: bool, now: Ms) -> Offer {
+        let mut o = Offer::default();
+        let Some(conf) = self.conf(svc).map(Lite::from) else {
+            return o;
+        };
+        let v = &self.svcs[svc as usize];
+        let sum: u32 = r.parts.iter().map(|p| p.tokens).sum();
+        let l = Load {
+            tokens: sum.max(r.tokens_in),
+            shared: r.shared().iter().map(|p| p.tokens).sum(),
+            key: r.key().filter(|_| conf.engine),
+        };
+        let mut noise = self.draw.clone();
+        let again = route.repeatable();
+        let fit = |w: &Spot| !w.health.out() || out || w.health.due(now, again);
+        let of = |i: u32| self.spots[i as usize].as_deref().map(|w| (i, w));
+        let each = || {
+            let all = v.spots.iter().filter_map(|i| of(*i));
+            all.filter(|(i, w)| self.may(w, *i, r, route) && fit(w))
+        };
+        // why: every node finds the same worker for a prefix without a word
+        let first = l.key.and_then(|k| {
+            let mine = |w: &Spot| w.region == self.place.region;
+            each()
+                .filter(|(_, w)| !w.health.out())
+                .max_by_key(|(_, w)| (mine(w), hash::mix(k, w.hash)))
+                .map(|(i, _)| i)
+        });
+        for (i, w) in each() {
+            let slots = f64::from(w.slots.max(conf.slots).max(1));
+            let load = w.load(now);
+            o.eligible += 1;
+            o.slots += slots;
+            o.taken += load.min(slots);
+            let c = self.cost(i, w, r, l, &conf, first == Some(i), noise.unit(), now);
+            let cold = conf.per_s > 0.0 && w.cold(now);
+            let bound = || self.nodes.part(self.cold_bound(&conf), w.hash);
+            if cold && w.sent_lately(now) >= bound() {
+                continue;
+            }
+            // why: a few behind the places keep a worker busy, more only wait
+            let room = load < slots * 1.5 && now >= w.full_until;
+            let here = w.region == self.place.region;
+            let to = match (room, here) {
+                (true, true) => &mut o.here,
+                (true, false) if load < slots => &mut o.far,
+                _ => &mut o.full,
+            };
+            let better = |a: &Choice| match room {
+                true => c.cost < a.cost,
+                false => c.load / slots < a.load / slots,
+            };
+            if to.as_ref().is_none_or(better) {
+                *to = Some(c);
+            }
+        }
+        self.draw = noise;
+        o
+    }
+
+    /// Requests a second that all nodes may send to one cold worker.
+    fn cold_bound(&self, c: &Lite) -> f64 {
+        (c.per_s * self.bounds.warmup_excess + self.bounds.warmup_slack) * 0.85
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    fn cost(
+        &self,
+        i: u32,
+        w: &Spot,
+        r: &Req,
+        l: Load,
+        conf: &Lite,
+        first: bool,
+        noise: f64,
+        now: Ms,
+    ) -> Choice {
+        let load = w.load(now);
+        let f = (load + 1.0) / f64::from(w.slots.max(conf.slots).max(1));
+        let near = w.zone == self.place.zone;
+        let cold = w.cold(now);
+        let (hit, kept) = match conf.engine {
+            true => w.kept.hit(&r.parts),
+            false => (0, 0),
+        };
+        // why: other nodes send this prefix there too
+        let kept = if first { kept.max(l.shared) } else { kept };
+        let reading = l.tokens.saturating_sub(kept);
+        let cost = if conf.engine {
+            let v = &self.svcs[w.service as usize];
+            let read = f64::from(reading) * v.per_token;
+            let anew = f64::from(l.shared.saturating_sub(kept)) * v.per_token;
+            // why: whoever reads long stalls all that run beside it
+            let stall = (w.reading as f64) * v.per_token + read * 0.5 * f.min(1.0);
+            let queue = 60.0 * f + 1500.0 * (f - 0.8).max(0.0);
+            let zone = match (near, l.shared < SMALL) {
+                (true, _) => 0.0,
+                (_, true) => 8.0,
+                _ => 4.0,
+            };
+            // why: nodes that turn from the first worker agree on the next
+            let next = l.key.map_or(0.0, |k| hash::unit(hash::mix(k, w.hash)));
+            let cold = if cold { 50.0 } else { 0.0 };
+            w.slow * (queue + read + stall) + anew * (1.1 - 0.1 * next) + zone + 6.0 * noise + cold
+        } else {
+            let zone = if near { 0.0 } else { 0.25 };
+            w.slow * f + zone + 0.05 * noise + if cold { 0.5 } else { 0.0 }
+        };
+        // why: what is due for a trial comes back by one, a light one if it can
+        let trial = l.tokens <= LIGHT;
+        Choice {
+            spot: i,
+            cost: match (w.health.out(), trial && w.health.until() <= now) {
+                (true, true) => -1.0,
+                // why: of those that are all out, the one out longest is least bad
+                (true, false) => cost + w.health.until().saturating_sub(now) as f64,
+                _ => cost,
+            },
+            load,
+            hit,
+            reading: if conf.engine { reading } else { 0 },
+        }
+    }
+}
+
+/// What of a service's configuration is asked for each worker.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Lite {
+    slots: u32,
+    per_s: f64,
+    engine: bool,
+}
+
+impl From<&Service> for Lite {
+    fn from(c: &Service) -> Lite {
+        Lite {
+            slots: c.engine.map_or(0, |e| e.slots),
+            per_s: c.warmup_per_s,
+            engine: c.engine.is_some(),
+        }
+    }
+}
--- /dev/null
+++ b/sorreldoor/src/proxy/table/reqs.rs
@@ -0,0 +1,335 @@
+//! Requests under way, from their head to their end.
+
+use super::hash;
+use super::health::Sign;
+use super::spot::FULL;
+use super::state::Table;
+use super::waits::Line;
+use super::{Heard, Rid};
+use crate::agree::Ms;
+use crate::problem::Problem;
+use crate::proxy::{Asked, Part};
+use crate::setup::hosted;
+
+/// A sending that has not come to its end.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Sending {
+    pub spot: u32,
+    pub at: Ms,
+    /// Parts that were thought kept there.
+    pub hit: usize,
+    /// Prompt tokens that it has to read.
+    pub reading: u32,
+    pub began: bool,
+    pub trial: bool,
+    /// It was booked as a further sending.
+    pub booked: bool,
+}
+
+#[derive(Clone, Debug)]
+pub(super) struct Req {
+    pub host: Box<str>,
+    pub path: Box<str>,
+    pub arrived: Ms,
+    pub caller_ms: Option<u64>,
+    pub parts: Box<[Part]>,
+    pub tokens_in: u32,
+    /// Route in the configuration of `edition`.
+    pub route: Option<u32>,
+    pub edition: u32,
+    pub deadline: Ms,
+    pub draw: u64,
+    pub sending: Option<Sending>,
+    /// Workers that it was meant for, and how many of them it reached.
+    pub tried: Vec<u32>,
+    pub sent: u32,
+    /// Some sending arrived, or may have.
+    pub arrived_once: bool,
+    /// A worker may have begun work on it.
+    pub may_have_run: bool,
+    /// At some sending it was not to run more than once.
+    pub once: bool,
+    pub last: Option<Problem>,
+    pub waits: Option<(Line, super::waits::Rank)>,
+    pub waited: bool,
+}
+
+impl Req {
+    /// The part that others share deepest; the last part is the request's own.
+    pub fn shared(&self) -> &[Part] {
+        let n = self.parts.len();
+        &self.parts[..n.saturating_sub(1)]
+    }
+
+    /// What a prompt prefix is known by.
+    pub fn key(&self) -> Option<u64> {
+        self.shared().last().or(self.parts.last()).map(|p| p.id)
+    }
+}
+
+/// Requests by id; an id is never used again.
+#[derive(Debug, Default)]
+pub(super) struct Reqs {
+    rows: Vec<(u32, Option<Box<Req>>)>,
+    free: Vec<u32>,
+}
+
+impl Reqs {
+    pub fn len(&self) -> usize {
+        self.rows.len() - self.free.len()
+    }
+
+    fn put(&mut self, r: Req) -> Rid {
+        let i = self.free.pop().unwrap_or_else(|| {
+            self.rows.push((0, None));
+            self.rows.len() as u32 - 1
+        });
+        let row = &mut self.rows[i as usize];
+        row.0 = row.0.wrapping_add(1);
+        row.1 = Some(Box::new(r));
+        u64::from(row.0) << 32 | u64::from(i)
+    }
+
+    pub fn get(&self, rid: Rid) -> Option<&Req> {
+        let (life, r) = self.rows.get(rid as u32 as usize)?;
+        r.as_deref().filter(|_| u64::from(*life) == rid >> 32)
+    }
+
+    pub fn get_mut(&mut self, rid: Rid) -> Option<&mut Req> {
+        let (life, r) = self.rows.get_mut(rid as u32 as usize)?;
+        let same = u64::from(*life) == rid >> 32;
+        r.as_deref_mut().filter(|_| same)
+    }
+
+    /// Takes it out for a while; `back` puts it where it was.
+    pub fn lend(&mut self, rid: Rid) -> Option<Box<Req>> {
+        self.get(rid)?;
+        self.rows[rid as u32 as usize].1.take()
+    }
+
+    pub fn back(&mut self, rid: Rid, r: Box<Req>) {
+        self.rows[rid as u32 as usize].1 = Some(r);
+    }
+
+    fn take(&mut self, rid: Rid) -> Option<Box<Req>> {
+        self.get(rid)?;
+        let i = rid as u32;
+        self.free.push(i);
+        self.rows[i as usize].1.take()
+    }
+}
+
+impl Table {
+    /// A request came whole with its head; it counts for the budget from now
+    /// on. `host` and `path` as the caller wrote them, times in milliseconds.
+    pub fn begin(
+        &mut self,
+        host: &str,
+        path: &str,
+        asked: Asked,
+        arrived: Ms,
+        now: Ms,
+    ) -> Result<Rid, Problem> {
+        self.tick(now);
+        let h = self.hosted.as_ref().ok_or(Problem::NoSetup)?;
+        let i = h.find(host, path).ok_or(Problem::UnknownRoute)?;
+        let r = Req {
+            host: host.into(),
+            path: path.into(),
+            arrived,
+            caller_ms: asked.deadline_ms,
+            deadline: until(&h.routes[i as usize], asked.deadline_ms, arrived),
+            tokens_in: asked.tokens_in,
+            parts: asked.parts.into(),
+            route: Some(i),
+            edition: self.edition,
+            draw: self.draw.next(),
+            sending: None,
+            tried: Vec::new(),
+            sent: 0,
+            arrived_once: false,
+            may_have_run: false,
+            once: false,
+            last: None,
+            waits: None,
+            waited: false,
+        };
+        let s = self.drawn(&r, &h.routes[i as usize], 0.0);
+        if let Some((s, _)) = s {
+            self.svcs[s as usize].budget.asked(&self.bounds, now);
+        }
+        self.counts.begun += 1;
+        Ok(self.reqs.put(r))
+    }
+
+    /// Its route in the configuration in force when it was last looked up.
+    pub fn route(&self, rid: Rid) -> Option<&hosted::Route> {
+        let r = self.reqs.get(rid)?;
+        // why: an index means nothing in another configuration
+        let i = match r.edition == self.edition {
+            true => r.route?,
+            false => self.hosted.as_ref()?.find(&r.host, &r.path)?,
+        };
+        self.hosted.as_ref()?.routes.get(i as usize)
+    }
+
+    /// When it is no longer waited for, on the clock of `now`.
+    pub fn deadline(&self, rid: Rid) -> Ms {
+        self.reqs.get(rid).map_or(0, |r| r.deadline)
+    }
+
+    /// Looks its route up anew if the configuration has changed.
+    pub(super) fn refind(&self, r: &mut Req, h: &hosted::Hosted) {
+        if r.edition != self.edition {
+            r.route = h.find(&r.host, &r.path);
+            r.edition = self.edition;
+            if let Some(i) = r.route {
+                r.deadline = until(&h.routes[i as usize], r.caller_ms, r.arrived);
+            }
+        }
+    }
+
+    /// What came of the last sending of this request.
+    pub fn heard(&mut self, rid: Rid, h: Heard, now: Ms) {
+        self.tick(now);
+        let Some(s) = self.reqs.get(rid).and_then(|r| r.sending) else {
+            return;
+        };
+        match h {
+            Heard::Head { load, cold_ms } => self.head(s.spot, load, cold_ms, now),
+            Heard::First => self.first(rid, now),
+            Heard::Done(status) => {
+                self.first(rid, now);
+                self.close(rid, true);
+                let bad = status >= 500;
+                self.sign(s, if bad { Sign::Bad } else { Sign::Good }, now);
+                self.counts.served += u64::from(status < 400);
+                self.note(rid, true, None);
+            }
+            Heard::NotRun(load) => {
+                self.head(s.spot, load, None, now);
+                self.unread(rid, s);
+                self.close(rid, true);
+                if let Some(w) = &mut self.spots[s.spot as usize] {
+                    w.full_until = now + FULL;
+                }
+                // why: an answer shows that it lives, however full
+                self.sign(s, Sign::Good, now);
+                self.note(rid, false, Some(Problem::NoWorker));
+            }
+            Heard::Misdirected => {
+                self.unread(rid, s);
+                self.close(rid, true);
+                let serial = self.serial;
+                if let Some(w) = &mut self.spots[s.spot as usize] {
+                    w.stale = Some(serial);
+                }
+                self.note(rid, false, Some(Problem::GivenUp));
+            }
+            Heard::NoConn => {
+                self.unread(rid, s);
+                self.close(rid, false);
+                self.never_left(rid, s);
+                self.sign(s, Sign::NoConn, now);
+                self.note(rid, false, Some(Problem::GivenUp));
+            }
+            Heard::Broke => {
+                self.close(rid, true);
+                self.sign(s, Sign::Bad, now);
+                self.note(rid, true, Some(Problem::WorkerBroke));
+            }
+            Heard::Left => {
+                self.close(rid, true);
+                self.note(rid, true, None);
+            }
+        }
+        self.let_go(s.spot);
+    }
+
+    fn note(&mut self, rid: Rid, ran: bool, last: Option<Problem>) {
+        if let Some(r) = self.reqs.get_mut(rid) {
+            r.may_have_run |= ran;
+            r.last = last;
+        }
+    }
+
+    /// The sending ends; its place is free.
+    fn close(&mut self, rid: Rid, arrived: bool) {
+        let Some(r) = self.reqs.get_mut(rid) else {
+            return;
+        };
+        let Some(s) = r.sending.take() else { return };
+        r.arrived_once |= arrived;
+        let Some(w) = &mut self.spots[s.spot as usize] else {
+            return;
+        };
+        w.mine = w.mine.saturating_sub(1);
+        if !s.began {
+            w.reading = w.reading.saturating_sub(u64::from(s.reading));
+        }
+        if s.trial {
+            w.health.trial = false;
+        }
+        let svc = w.service;
+        self.waits.freed(svc);
+    }
+
+    /// Nothing reached the worker: it costs no budget and no try.
+    fn never_left(&mut self, rid: Rid, s: Sending) {
+        let b = &self.bounds;
+        let Some(w) = &mut self.spots[s.spot as usize] else {
+            return;
+        };
+        w.unsent(s.at);
+        if s.booked {
+            self.svcs[w.service as usize].budget.unspent(b, s.at);
+            self.counts.retried = self.counts.retried.saturating_sub(1);
+        }
+        if let Some(r) = self.reqs.get_mut(rid) {
+            r.sent = r.sent.saturating_sub(1);
+        }
+    }
+
+    /// The worker did not read the prompt after all.
+    fn unread(&mut self, rid: Rid, s: Sending) {
+        let Some(r) = self.reqs.get(rid) else { return };
+        if let Some(w) = &mut self.spots[s.spot as usize] {
+            w.kept.forget(&r.parts[s.hit.min(r.parts.len())..]);
+        }
+    }
+
+    /// The request is over, whatever became of it.
+    pub fn end(&mut self, rid: Rid, now: Ms) {
+        self.tick(now);
+        self.unwait(rid);
+        let at = self.reqs.get(rid).and_then(|r| r.sending).map(|s| s.spot);
+        self.close(rid, true);
+        self.reqs.take(rid);
+        if let Some(i) = at {
+            self.let_go(i);
+        }
+    }
+
+    pub(super) fn unwait(&mut self, rid: Rid) {
+        let w = self.reqs.get_mut(rid).and_then(|r| r.waits.take());
+        if let Some((l, k)) = w {
+            self.waits.drop(l, k);
+        }
+    }
+
+    /// The requests that may find a place now, the most urgent first.
+    pub fn woken(&mut self, now: Ms) -> Vec<Rid> {
+        self.tick(now);
+        self.waits.woken(now)
+    }
+}
+
+/// The caller's patience and the operator's, whichever ends first.
+fn until(r: &hosted::Route, caller: Option<u64>, arrived: Ms) -> Ms {
+    arrived + caller.unwrap_or(u64::MAX / 4).min(r.timeout_ms)
+}
+
+/// The order of weighted services for one draw: rendezvous by weights.
+pub(super) fn weighted(draw: u64, service: u64, weight: u32) -> f64 {
+    -hash::unit(hash::mix(draw, service)).ln() / f64::from(weight)
+}
--- /dev/null
+++ b/sorreldoor/src/proxy/table/spot.rs
@@ -0,0 +1,122 @@
+//! What the table knows of one worker.
+
+use super::health::Health;
+use super::kept::Kept;
+use crate::agree::Ms;
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+
+/// Sendings in this time count against a cold worker's bound of a second; more
+/// than a second, for a sending may leave later than it was decided.
+pub const COLD_SPAN: Ms = 1200;
+/// A report of load counts whole for so long, then fades by halves.
+const FRESH: Ms = 1000;
+/// A worker that said that it is full gets nothing for so long.
+pub const FULL: Ms = 100;
+/// Sending times remembered of one worker, at most.
+const MOST_SENT: usize = 256;
+
+#[derive(Clone, Debug)]
+pub struct Spot {
+    pub name: String,
+    pub hash: u64,
+    pub addr: SocketAddr,
+    /// Dense index of the service in the table.
+    pub service: u32,
+    pub zone: u16,
+    pub region: u8,
+    /// On the newest list, not draining, not about to leave.
+    pub open: bool,
+    /// On the newest list.
+    pub listed: bool,
+    /// Not used until the list is newer than this serial.
+    pub stale: Option<u64>,
+    pub slots: u32,
+    /// Requests of this node that are there.
+    pub mine: u32,
+    /// Requests of others there, as of `heard`.
+    others: f64,
+    heard: Ms,
+    pub full_until: Ms,
+    pub cold_until: Ms,
+    sent: VecDeque<Ms>,
+    /// Prompt tokens of this node's requests that are still being read there.
+    pub reading: u64,
+    pub kept: Kept,
+    pub health: Health,
+    /// Time to the first event over what is usual in its service; 1: as usual.
+    pub slow: f64,
+}
+
+impl Spot {
+    pub fn new(name: &str, addr: SocketAddr, service: u32) -> Spot {
+        Spot {
+            name: name.to_string(),
+            hash: super::hash::name(name),
+            addr,
+            service,
+            zone: 0,
+            region: 0,
+            open: false,
+            listed: false,
+            stale: None,
+            slots: 0,
+            mine: 0,
+            others: 0.0,
+            heard: 0,
+            full_until: 0,
+            cold_until: 0,
+            sent: VecDeque::new(),
+            reading: 0,
+            kept: Kept::default(),
+            health: Health::default(),
+            slow: 1.0,
+        }
+    }
+
+    pub fn cold(&self, now: Ms) -> bool {
+        now < self.cold_until
+    }
+
+    /// Running and waiting there, as far as is known.
+    pub fn load(&self, now: Ms) -> f64 {
+        let age = now.saturating_sub(self.heard);
+        let fade = match age <= FRESH {
+            true => 1.0,
+            // why: what is not heard again is tried again
+            false => (-((age - FRESH) as f64) / 1500.0).exp2(),
+        };
+        f64::from(self.mine) + self.others * fade
+    }
+
+    /// Its own word; `mine` of them are this node's.
+    pub fn report(&mut self, running: u32, waiting: u32, slots: u32, now: Ms) {
+        self.others = (f64::from(running) + f64::from(waiting) - f64::from(self.mine)).max(0.0);
+        self.heard = now;
+        if slots > 0 {
+            self.slots = slots;
+        }
+    }
+
+    pub fn note_sent(&mut self, now: Ms) {
+        while self.sent.len() >= MOST_SENT
+            || self.sent.front().is_some_and(|t| t + COLD_SPAN <= now)
+        {
+            self.sent.pop_front();
+        }
+        self.sent.push_back(now);
+    }
+
+    /// Takes back a sending that never left.
+    pub fn unsent(&mut self, then: Ms) {
+        if let Some(i) = self.sent.iter().rposition(|t| *t == then) {
+            self.sent.remove(i);
+        }
+    }
+
+    /// Sendings of this node in the last span.
+    pub fn sent_lately(&self, now: Ms) -> u32 {
+        let n = self.sent.iter().rev().take_while(|t| **t + COLD_SPAN > now);
+        n.count() as u32
+    }
+}
--- /dev/null
+++ b/sorreldoor/src/proxy/table/state.rs
@@ -0,0 +1,274 @@
+//! The table itself, and what it takes in from outside.
+
+use super::budget::Budget;
+use super::hash::{self, Draw};
+use super::nodes::Nodes;
+use super::reqs::Reqs;
+use super::spot::Spot;
+use super::waits::Waits;
+use super::{Bounds, Place};
+use crate::agree::Ms;
+use crate::roster::Roster;
+use crate::setup::hosted::{Hosted, Service};
+use std::collections::HashMap;
+use std::sync::Arc;
+
+/// Services and workers whose newest list lags may turn up a little later.
+const MARGIN: Ms = 300;
+
+/// A service by name, as long as the table lives.
+#[derive(Clone, Debug)]
+pub(super) struct Svc {
+    pub hash: u64,
+    /// Its place in the configuration in force.
+    pub conf: Option<u16>,
+    pub spots: Vec<u32>,
+    pub budget: Budget,
+    /// Time to read one prompt token, in milliseconds.
+    pub per_token: f64,
+    /// Time to the first event beside reading, in milliseconds.
+    pub first_ms: f64,
+}
+
+/// What was decided so far, for status pages.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    /// Requests begun, and those under way now.
+    pub begun: u64,
+    pub open: u64,
+    /// Sendings answered whole.
+    pub served: u64,
+    pub refused: u64,
+    /// Further sendings of requests that were sent before.
+    pub retried: u64,
+    /// Requests that waited, and those that wait now.
+    pub waited: u64,
+    pub waiting: u64,
+    /// Times that a worker was put out, and workers that are out now.
+    pub ejected: u64,
+    pub out: u64,
+    /// Workers on the list.
+    pub workers: u64,
+    /// Prompt tokens thought kept where they were sent, and those to be read.
+    pub hit: u64,
+    pub read: u64,
+}
+
+#[derive(Debug)]
+pub struct Table {
+    pub(super) place: Place,
+    pub(super) bounds: Bounds,
+    pub(super) draw: Draw,
+    pub(super) now: Ms,
+    pub(super) hosted: Option<Arc<Hosted>>,
+    /// Counts configurations taken.
+    pub(super) edition: u32,
+    pub(super) emptied: Vec<u16>,
+    pub(super) serial: u64,
+    listed_once: bool,
+    pub(super) nodes: Nodes,
+    pub(super) svcs: Vec<Svc>,
+    svc_by_name: HashMap<String, u32>,
+    /// From a service of the configuration to `svcs`.
+    pub(super) svc_of: Vec<u32>,
+    /// Indices are never used again; what is gone for good leaves a hole.
+    pub(super) spots: Vec<Option<Box<Spot>>>,
+    by_name: HashMap<String, u32>,
+    pub(super) reqs: Reqs,
+    pub(super) waits: Waits,
+    pub(super) counts: Counts,
+}
+
+impl Table {
+    pub fn new(place: Place, bounds: Bounds, seed: u64) -> Table {
+        let nodes = Nodes::new(&place.node);
+        Table {
+            draw: Draw(seed ^ hash::name(&place.node)),
+            place,
+            bounds,
+            now: 0,
+            hosted: None,
+            edition: 0,
+            emptied: Vec::new(),
+            serial: 0,
+            listed_once: false,
+            nodes,
+            svcs: Vec::new(),
+            svc_by_name: HashMap::new(),
+            svc_of: Vec::new(),
+            spots: Vec::new(),
+            by_name: HashMap::new(),
+            reqs: Reqs::default(),
+            waits: Waits::default(),
+            counts: Counts::default(),
+        }
+    }
+
+    pub(super) fn tick(&mut self, now: Ms) {
+        self.now = self.now.max(now);
+    }
+
+    fn svc(&mut self, name: &str, now: Ms) -> u32 {
+        if let Some(i) = self.svc_by_name.get(name) {
+            return *i;
+        }
+        let i = self.svcs.len() as u32;
+        self.svcs.push(Svc {
+            hash: hash::name(name),
+            conf: None,
+            spots: Vec::new(),
+            budget: Budget::new(now),
+            per_token: 0.02,
+            first_ms: 50.0,
+        });
+        self.svc_by_name.insert(name.to_string(), i);
+        i
+    }
+
+    /// The service as configured now.
+    pub(super) fn conf(&self, svc: u32) -> Option<&Service> {
+        let c = self.svcs.get(svc as usize)?.conf?;
+        self.hosted.as_ref()?.services.get(c as usize)
+    }
+
+    /// A configuration is in force from now on.
+    pub fn take_hosted(&mut self, h: Arc<Hosted>, now: Ms) {
+        self.tick(now);
+        self.edition = self.edition.wrapping_add(1);
+        self.svcs.iter_mut().for_each(|s| s.conf = None);
+        self.svc_of = h.services.iter().map(|s| self.svc(&s.name, now)).collect();
+        for (c, i) in self.svc_of.iter().enumerate() {
+            self.svcs[*i as usize].conf = Some(c as u16);
+        }
+        self.hosted = Some(h);
+        self.waits.all();
+    }
+
+    pub fn hosted(&self) -> Option<&Arc<Hosted>> {
+        self.hosted.as_ref()
+    }
+
+    /// The zones that nothing is sent to, all of them.
+    pub fn take_emptied(&mut self, zones: Vec<u16>, now: Ms) {
+        self.tick(now);
+        let back: Vec<u16> = self
+            .emptied
+            .iter()
+            .copied()
+            .filter(|z| !zones.contains(z))
+            .collect();
+        self.emptied = zones;
+        // why: workers of a zone that was empty may have turned cold in it
+        for i in 0..self.spots.len() {
+            let Some(s) = &self.spots[i] else { continue };
+            if back.contains(&s.zone) {
+                let warmup = self.conf(s.service).map_or(0, |c| c.warmup_ms);
+                self.chill(i as u32, warmup, now);
+            }
+        }
+        self.waits.all();
+    }
+
+    /// Assumes a worker cold for so long.
+    pub(super) fn chill(&mut self, i: u32, ms: u64, now: Ms) {
+        if let Some(s) = &mut self.spots[i as usize] {
+            s.cold_until = s.cold_until.max(now + ms);
+            if ms > 0 {
+                s.kept.clear();
+            }
+        }
+    }
+
+    /// The names and zones of the ready nodes.
+    pub fn take_nodes(&mut self, all: Vec<(String, u16)>) {
+        self.nodes.take(&all, self.now);
+    }
+
+    /// The platform's list; one that is older than the last is let go.
+    pub fn take_roster(&mut self, r: &Roster, now: Ms) {
+        self.tick(now);
+        if self.listed_once && r.serial < self.serial {
+            return;
+        }
+        self.serial = r.serial;
+        let mut seen = vec![false; self.spots.len() + r.workers.len()];
+        for w in &r.workers {
+            let svc = self.svc(&w.group, now);
+            let (i, new) = self.spot(&w.name, w.addr, svc);
+            seen[i as usize] = true;
+            let warmup = self.conf(svc).map_or(0, |c| c.warmup_ms);
+            let Some(s) = &mut self.spots[i as usize] else {
+                continue;
+            };
+            (s.addr, s.zone, s.region, s.listed) = (w.addr, w.zone, w.region, true);
+            s.open = !w.leaving && w.leaves_ms.is_none();
+            if s.slots == 0 || w.slots > 0 {
+                s.slots = w.slots;
+            }
+            s.stale = s.stale.filter(|at| *at >= r.serial);
+            let cold = match new && self.listed_once {
+                // why: a worker that starts among traffic is cold, though the
+                // list may not say so yet
+                true => w.cold_ms.max(warmup),
+                false => w.cold_ms,
+            };
+            if cold > 0 {
+                s.cold_until = s.cold_until.max(now + cold + MARGIN);
+            }
+        }
+        for (i, here) in seen.iter().enumerate().take(self.spots.len()) {
+            if let Some(s) = self.spots[i].as_mut().filter(|_| !here) {
+                (s.open, s.listed) = (false, false);
+                self.let_go(i as u32);
+            }
+        }
+        self.listed_once = true;
+        self.waits.all();
+    }
+
+    fn spot(&mut self, name: &str, addr: std::net::SocketAddr, svc: u32) -> (u32, bool) {
+        let old = self.by_name.get(name).copied();
+        // why: a name that turns up in another service is another worker
+        if let Some(i) = old {
+            let s = self.spots[i as usize].as_ref();
+            if s.is_some_and(|s| s.service == svc) {
+                return (i, false);
+            }
+            if let Some(s) = &mut self.spots[i as usize] {
+                (s.open, s.listed) = (false, false);
+            }
+            self.let_go(i);
+        }
+        let i = self.spots.len() as u32;
+        self.spots.push(Some(Box::new(Spot::new(name, addr, svc))));
+        self.by_name.insert(name.to_string(), i);
+        self.svcs[svc as usize].spots.push(i);
+        (i, true)
+    }
+
+    /// Forgets a worker that is off the list once nothing of it is under way.
+    pub(super) fn let_go(&mut self, i: u32) {
+        let Some(s) = &self.spots[i as usize] else {
+            return;
+        };
+        if s.listed || s.mine > 0 {
+            return;
+        }
+        self.svcs[s.service as usize].spots.retain(|x| *x != i);
+        if self.by_name.get(&s.name) == Some(&i) {
+            self.by_name.remove(&s.name);
+        }
+        self.spots[i as usize] = None;
+    }
+
+    pub fn counts(&self) -> Counts {
+        let spots = || self.spots.iter().flatten();
+        Counts {
+            open: self.reqs.len() as u64,
+            waiting: self.waits.len() as u64,
+            out: spots().filter(|s| s.health.out()).count() as u64,
+            workers: spots().filter(|s| s.listed).count() as u64,
+            ..self.counts
+        }
+    }
+}
--- a/sorreldoor/src/roster.rs
+++ b/sorreldoor/src/roster.rs
@@ -14,6 +14,15 @@
     pub zone: u16,
     pub region: u8,
     pub leaving: bool,
+    /// Requests that it works on at once; 0: not said.
+    #[serde(default)]
+    pub slots: u32,
+    /// How much longer it stays cold, in milliseconds.
+    #[serde(default)]
+    pub cold_ms: u64,
+    /// It goes at short notice, after so many milliseconds.
+    #[serde(default)]
+    pub leaves_ms: Option<u64>,
 }
 
 /// The list as of one of the platform's own serials, which only grow.
@@ -105,6 +114,9 @@
         zone,
         region: site.region_of_zone(zone)?,
         leaving: state == "leaving",
+        slots: 0,
+        cold_ms: 0,
+        leaves_ms: None,
     })
 }
 
--- /dev/null
+++ b/sorreldoor/tests/table.rs
@@ -0,0 +1,175 @@
+//! The table of requests under way: each rule by itself, and nodes together.
+
+use sorreldoor::problem::Problem;
+use sorreldoor::proxy::table::{Bounds, Heard, Pick, Place, Rid, Table, Target};
+use sorreldoor::proxy::{Asked, Part};
+use sorreldoor::roster::{Roster, Worker};
+use sorreldoor::setup::hosted::{Engine, Hosted, Kind, Route, Service};
+use std::sync::Arc;
+
+/// Two regions: zones 0 and 1 in the first, 2 in the second.
+const REGIONS: [u8; 3] = [0, 0, 1];
+
+fn bounds() -> Bounds {
+    Bounds {
+        retry_ratio: 0.2,
+        retry_window_ms: 10_000,
+        retry_slack: 64.0,
+        warmup_excess: 1.5,
+        warmup_slack: 5.0,
+    }
+}
+
+fn place(node: &str, zone: u16) -> Place {
+    Place {
+        node: node.into(),
+        zone,
+        region: REGIONS[zone as usize],
+        regions: REGIONS.to_vec(),
+    }
+}
+
+fn route(name: &str, prefix: &str, kind: Kind, svc: u16) -> Route {
+    Route {
+        name: name.into(),
+        host: "h".into(),
+        prefix: prefix.into(),
+        kind,
+        timeout_ms: 8000,
+        aim_ms: 800,
+        priority: 1,
+        split: vec![(svc, 1)],
+        attempts: 2,
+        sticky: svc == 0,
+        ..Route::default()
+    }
+}
+
+/// Service 0 has engines, service 1 has none.
+fn hosted(routes: Vec<Route>) -> Arc<Hosted> {
+    let mut h = Hosted {
+        routes,
+        services: vec![
+            Service {
+                name: "model".into(),
+                max_conns: 330,
+                warmup_ms: 3000,
+                warmup_per_s: 31.0,
+                engine: Some(Engine {
+                    slots: 48,
+                    kv_tokens: 318_206,
+                    stride: 5,
+                }),
+                ..Service::default()
+            },
+            Service {
+                name: "web".into(),
+                max_conns: 130,
+                ..Service::default()
+            },
+        ],
+        ..Hosted::default()
+    };
+    let mut at: Vec<u32> = (0..h.routes.len() as u32).collect();
+    at.sort_by_key(|i| std::cmp::Reverse(h.routes[*i as usize].prefix.len()));
+    h.by_host.insert("h".into(), at);
+    Arc::new(h)
+}
+
+fn usual() -> Arc<Hosted> {
+    hosted(vec![
+        route("once", "/once/", Kind::Once, 0),
+        route("idem", "/idem/", Kind::Idempotent, 0),
+        route("web", "/web/", Kind::Idempotent, 1),
+        route("webonce", "/webonce/", Kind::Once, 1),
+    ])
+}
+
+fn worker(name: &str, group: &str, zone: u16, slots: u32) -> Worker {
+    Worker {
+        name: name.into(),
+        addr: "10.0.0.1:80".parse().unwrap(),
+        group: group.into(),
+        zone,
+        region: REGIONS[zone as usize],
+        leaving: false,
+        slots,
+        cold_ms: 0,
+        leaves_ms: None,
+    }
+}
+
+fn many(group: &str, slots: u32, zones: &[u16]) -> Vec<Worker> {
+    let w = |(i, z): (usize, &u16)| worker(&format!("{group}{i}"), group, *z, slots);
+    zones.iter().enumerate().map(w).collect()
+}
+
+fn roster(serial: u64, workers: Vec<Worker>) -> Roster {
+    Roster { serial, workers }
+}
+
+fn table(h: Arc<Hosted>, workers: Vec<Worker>) -> Table {
+    let mut t = Table::new(place("n0", 0), bounds(), 7);
+    t.take_hosted(h, 0);
+    t.take_nodes(vec![("n0".into(), 0)]);
+    t.take_roster(&roster(1, workers), 0);
+    t
+}
+
+fn ask(parts: &[(u64, u32)]) -> Asked {
+    Asked {
+        deadline_ms: Some(5000),
+        tokens_in: parts.iter().map(|p| p.1).sum(),
+        parts: parts
+            .iter()
+            .map(|(id, tokens)| Part {
+                id: *id,
+                tokens: *tokens,
+            })
+            .collect(),
+        ..Asked::default()
+    }
+}
+
+fn begin(t: &mut Table, path: &str, now: u64) -> Rid {
+    t.begin("h", path, ask(&[]), now, now).unwrap()
+}
+
+fn go(p: Pick) -> Target {
+    match p {
+        Pick::Go(t) => t,
+        p => panic!("not sent: {p:?}"),
+    }
+}
+
+fn sent(t: &mut Table, path: &str, now: u64) -> (Rid, Target) {
+    let r = begin(t, path, now);
+    let g = go(t.pick(r, now));
+    (r, g)
+}
+
+#[test]
+fn no_setup_and_no_route() {
+    let mut t = Table::new(place("n0", 0), bounds(), 7);
+    assert_eq!(
+        t.begin("h", "/web/x", ask(&[]), 0, 0),
+        Err(Problem::NoSetup)
+    );
+    t.take_hosted(usual(), 0);
+    assert_eq!(
+        t.begin("h", "/no/x", ask(&[]), 0, 0),
+        Err(Problem::UnknownRoute)
+    );
+    assert_eq!(
+        t.begin("g", "/web/x", ask(&[]), 0, 0),
+        Err(Problem::UnknownRoute)
+    );
+}
+
+#[test]
+fn what_may_have_run_is_not_sent_again() {
+    let mut t = table(usual(), many("web", 6, &[0, 1, 2]));
+    let (r, _) = sent(&mut t, "/webonce/x", 100);
+    t.heard(r, Heard::Broke, 120);
+    assert_eq!(t.pick(r, 120), Pick::Refuse(Problem::OutcomeUnknown, 0));
+}
