Proxy: requests carried to workers and streams taken up, on real sockets

Cause: the product had no way to carry a request byte for byte, on kept connections, to a worker of a named service, nor to take a stream up elsewhere. Ruled out: async-h1 for this door (its request type normalises the target); httparse below it keeps the bytes. Before: no such door.

--- a/sorreldoor/src/problem.rs
+++ b/sorreldoor/src/problem.rs
@@ -36,6 +36,9 @@
     UnknownZone "unknown-zone" 404 false "the site has no such zone";
     UnknownProposal "unknown-proposal" 404 false "no result is kept for this proposal id";
     BadMethod "bad-method" 405 false "this path does not take this method";
+    BadRequest "bad-request" 400 false "the request is no proper HTTP/1.1";
+    HeadTooLarge "head-too-large" 431 false "the head is larger than the operator allows";
+    DeadlinePassed "deadline-passed" 504 false "the time for this request is over; whether it ran is not known";
     SlowSender "slow-sender" 408 false "the errand did not arrive whole in time";
     BodyTooLarge "body-too-large" 413 false "the body is larger than this node takes";
     HomeElsewhere "home-elsewhere" 307 false "this errand is bound to its home region; go to the address given";
--- /dev/null
+++ b/sorreldoor/src/proxy/front.rs
@@ -0,0 +1,214 @@
+//! The control half of a node that serves hosted routes: its session with a
+//! core, the news it takes, and the table that news goes into.
+
+use super::table::Table;
+use crate::agree::Ms;
+use crate::events::Ev;
+use crate::net::{Conn, NetEvent};
+use crate::pull::{Pull, PullFx};
+use crate::record::View;
+use crate::seam::{Now, Reducer};
+use crate::setup::{self, Site};
+use crate::wire::*;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+#[derive(Debug)]
+pub enum FrontEvent {
+    Alarm,
+    Net(NetEvent),
+    Stop,
+}
+
+#[derive(Debug)]
+pub enum FrontFx {
+    Send(Conn, Payload),
+    Dial(SocketAddr),
+    Undial(SocketAddr),
+    Say(Ev, String),
+}
+
+/// A ready node as callers are sent to it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Seen {
+    pub node: String,
+    pub addr: String,
+    pub zone: u16,
+    pub region: u8,
+}
+
+pub struct Front {
+    pub me: Hello,
+    pub site: Arc<Site>,
+    pub pull: Pull,
+    pub table: Table,
+    /// Nodes that are ready, by the sessions that cores tell of.
+    pub nodes: Vec<Seen>,
+    pub view: View,
+    pub leaving: bool,
+    pub running: u32,
+    pub now: Ms,
+    out: Vec<FrontFx>,
+}
+
+impl Reducer for Front {
+    type Event = FrontEvent;
+    type Fx = FrontFx;
+
+    fn step(&mut self, ev: FrontEvent, at: Now) -> Vec<FrontFx> {
+        self.now = self.now.max(at.mono);
+        if let Some(f) = self.pull.awake(self.now, at.wall) {
+            self.pulled(f);
+        }
+        match ev {
+            FrontEvent::Alarm => {
+                for f in self.pull.alarm(self.now) {
+                    self.pulled(f);
+                }
+            }
+            FrontEvent::Net(n) => self.net(n),
+            FrontEvent::Stop => {
+                self.leaving = true;
+                self.say(Ev::Leaving, "edge");
+                // why: callers must be sent elsewhere before the door shuts
+                if let Some(c) = self.pull.conn {
+                    let f = self.pull.renew(c, self.now);
+                    self.pulled(f);
+                }
+            }
+        }
+        std::mem::take(&mut self.out)
+    }
+}
+
+impl Front {
+    pub fn new(me: Hello, site: Arc<Site>, pull: Pull, table: Table) -> Front {
+        Front {
+            me,
+            site,
+            pull,
+            table,
+            nodes: Vec::new(),
+            view: View::default(),
+            leaving: false,
+            running: 0,
+            now: 0,
+            out: Vec::new(),
+        }
+    }
+
+    fn say(&mut self, ev: Ev, about: impl Into<String>) {
+        self.out.push(FrontFx::Say(ev, about.into()));
+    }
+
+    /// It has a configuration and workers, and is not going down.
+    pub fn ready(&self) -> bool {
+        !self.leaving && self.table.hosted().is_some() && self.pull.have.roster > 0
+    }
+
+    fn pulled(&mut self, f: PullFx) {
+        match f {
+            PullFx::Dial(a) => self.out.push(FrontFx::Dial(a)),
+            PullFx::Undial(a) => self.out.push(FrontFx::Undial(a)),
+            PullFx::Renew { conn, no } => {
+                let have = self.pull.have.clone();
+                let doing = Doing {
+                    serial: self.view.serial,
+                    permit: self.ready(),
+                    running: self.running,
+                    ..Doing::default()
+                };
+                let p = Payload::Renew { no, have, doing };
+                self.out.push(FrontFx::Send(conn, p));
+            }
+            PullFx::Lost => self.say(Ev::SessionLost, "silent"),
+            PullFx::Woken(s) => self.say(Ev::Woken, s),
+            PullFx::PermitLost | PullFx::PermitBack => {}
+        }
+    }
+
+    fn net(&mut self, n: NetEvent) {
+        match n {
+            NetEvent::Up { conn, dialled } => {
+                let h = self.me.clone();
+                self.out.push(FrontFx::Send(conn, Payload::Hello(h)));
+                if let Some(a) = dialled {
+                    let fx = self.pull.up(conn, a, self.now);
+                    fx.into_iter().for_each(|f| self.pulled(f));
+                    self.say(Ev::SessionUp, a.to_string());
+                }
+            }
+            NetEvent::Down { conn } => self.pull.down(conn),
+            NetEvent::Frame { conn, payload } => match *payload {
+                // why: news from a core that could not prove itself may be old
+                Payload::Grant { no, ok, news } if self.pull.granted(no, ok, self.now) => {
+                    self.take_news(news);
+                }
+                Payload::Ping { .. } => {
+                    let p = Payload::Ping { no: 0 };
+                    self.out.push(FrontFx::Send(conn, p));
+                }
+                _ => {}
+            },
+        }
+    }
+
+    fn take_news(&mut self, n: News) {
+        if let Some(v) = n.record {
+            self.pull.have.record = v.rev;
+            self.take_view(v);
+        }
+        if let Some(r) = n.roster {
+            self.pull.have.roster = r.serial;
+            self.table.take_roster(&r, self.now);
+        }
+        if let Some(s) = n.seats {
+            self.pull.have.seats = s.0;
+            self.take_seats(s.1);
+        }
+        let region = self.me.region;
+        let near = |(a, r): &(String, u8)| a.parse().ok().map(|a| (a, *r == region));
+        self.pull
+            .take_cores(n.cores.iter().filter_map(near).collect());
+    }
+
+    fn take_view(&mut self, v: View) {
+        let was = (self.view.serial, self.view.doc.is_some());
+        let same = was == (v.serial, v.doc.is_some());
+        let doc = v.doc.clone().filter(|_| !same);
+        if let Some(d) = doc {
+            match setup::read(d.as_bytes(), &self.site) {
+                Ok((s, _)) => {
+                    if let Some(h) = s.hosted {
+                        self.table.take_hosted(h, self.now);
+                    }
+                    self.say(Ev::SetupAdopted, format!("serial {}", v.serial));
+                }
+                Err(e) => self.say(Ev::SetupUnread, e.join("; ")),
+            }
+        }
+        self.table.take_emptied(v.emptied.clone(), self.now);
+        // why: the text is read; keeping it would cost its size for nothing
+        self.view = View {
+            doc: v.doc.map(|_| Arc::default()),
+            ..v
+        };
+    }
+
+    fn take_seats(&mut self, all: Vec<Seat>) {
+        let of = |s: &Seat| Seen {
+            node: s.hello.node.clone(),
+            addr: s.hello.http.clone(),
+            zone: s.hello.zone,
+            region: s.hello.region,
+        };
+        self.nodes = all
+            .iter()
+            .filter(|s| s.permit && !s.hello.core)
+            .map(of)
+            .collect();
+        let names = self.nodes.iter().map(|s| (s.node.clone(), s.zone));
+        let names = names.collect();
+        self.table.take_nodes(names);
+    }
+}
--- /dev/null
+++ b/sorreldoor/src/proxy/shared.rs
@@ -0,0 +1,98 @@
+//! What all connections of one proxy node share.
+
+use super::dialect::Dialect;
+use super::front::Front;
+use super::pool::Pool;
+use super::table::Rid;
+use crate::agree::Ms;
+use crate::seam::Clock;
+use async_std::channel::{bounded, Receiver, Sender};
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Mutex, MutexGuard};
+
+pub struct Shared<D, C> {
+    pub front: Mutex<Front>,
+    pub pool: Pool,
+    pub dialect: D,
+    pub clock: C,
+    pub reach: BTreeMap<SocketAddr, SocketAddr>,
+    /// Requests that wait for a worker, to be woken.
+    waiting: Mutex<HashMap<Rid, Sender<()>>>,
+    /// No new connections are kept; answers say so.
+    pub leaving: AtomicBool,
+    /// Client connections, and requests under way.
+    pub open: AtomicUsize,
+    pub running: AtomicUsize,
+    /// Closed once idle connections are to end.
+    pub bell: Sender<()>,
+    pub hear: Receiver<()>,
+}
+
+impl<D: Dialect, C: Clock> Shared<D, C> {
+    pub fn new(
+        front: Front,
+        dialect: D,
+        clock: C,
+        reach: BTreeMap<SocketAddr, SocketAddr>,
+    ) -> Self {
+        let (bell, hear) = bounded(1);
+        Shared {
+            front: Mutex::new(front),
+            pool: Pool::default(),
+            dialect,
+            clock,
+            reach,
+            waiting: Mutex::default(),
+            leaving: AtomicBool::new(false),
+            open: AtomicUsize::new(0),
+            running: AtomicUsize::new(0),
+            bell,
+            hear,
+        }
+    }
+
+    pub fn now(&self) -> Ms {
+        self.clock.now().mono
+    }
+
+    pub fn lock(&self) -> MutexGuard<'_, Front> {
+        self.front.lock().unwrap_or_else(|p| p.into_inner())
+    }
+
+    fn waiters(&self) -> MutexGuard<'_, HashMap<Rid, Sender<()>>> {
+        self.waiting.lock().unwrap_or_else(|p| p.into_inner())
+    }
+
+    pub fn wait(&self, rid: Rid) -> Receiver<()> {
+        let (tx, rx) = bounded(1);
+        self.waiters().insert(rid, tx);
+        rx
+    }
+
+    pub fn waited(&self, rid: Rid) {
+        self.waiters().remove(&rid);
+    }
+
+    /// Wakes those that may find a worker now.
+    pub fn wake(&self) {
+        if self.waiters().is_empty() {
+            return;
+        }
+        let now = self.now();
+        let all = self.lock().table.woken(now);
+        let w = self.waiters();
+        for tx in all.iter().filter_map(|r| w.get(r)) {
+            let _ = tx.try_send(());
+        }
+    }
+
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::Relaxed)
+    }
+
+    pub fn reached(&self, a: SocketAddr) -> SocketAddr {
+        self.reach.get(&a).copied().unwrap_or(a)
+    }
+}
--- a/sorreldoor/src/proxy/table/pick.rs
+++ b/sorreldoor/src/proxy/table/pick.rs
@@ -93,6 +93,30 @@
         self.refuse(r, Problem::NoWorker, now)
     }
 
+    /// Whether a request that is at a worker could be taken up by another one:
+    /// its route, its sendings so far and the budget allow it.
+    pub fn may_move(&self, rid: Rid, now: Ms) -> bool {
+        let (Some(r), Some(h)) = (self.reqs.get(rid), &self.hosted) else {
+            return false;
+        };
+        let route = r.route.filter(|_| r.edition == self.edition);
+        let Some(route) = route.and_then(|i| h.routes.get(i as usize)) else {
+            return false;
+        };
+        let spent = r.sent >= route.attempts.max(1) || r.once || !route.repeatable();
+        let late = r.deadline < now + TOO_LATE;
+        let here = r.sending.and_then(|s| self.spots[s.spot as usize].as_ref());
+        let Some(w) = here.filter(|_| !spent && !late) else {
+            return false;
+        };
+        let other = |i: &u32| {
+            let x = self.spots[*i as usize].as_deref();
+            x.is_some_and(|x| self.may(x, *i, r, route) && !x.health.out())
+        };
+        let v = &self.svcs[w.service as usize];
+        v.budget.fits(&self.bounds, self.slack(w.service), now) && v.spots.iter().any(other)
+    }
+
     fn wait(&mut self, r: &mut Req, line: Line, rank: Rank, until: Ms, now: Ms) -> Pick {
         self.counts.waited += u64::from(!std::mem::replace(&mut r.waited, true));
         // why: one that shuns a worker must not hold up those behind it
--- a/sorreldoor/src/proxy/table/rank.rs
+++ b/sorreldoor/src/proxy/table/rank.rs
@@ -54,7 +54,7 @@
 }
 
 impl Table {
-    fn may(&self, w: &Spot, i: u32, r: &Req, route: &Route) -> bool {
+    pub(super) fn may(&self, w: &Spot, i: u32, r: &Req, route: &Route) -> bool {
         w.open
             && w.stale.is_none()
             && !self.emptied.contains(&w.zone)
--- a/sorreldoor/src/roster.rs
+++ b/sorreldoor/src/roster.rs
@@ -25,6 +25,23 @@
     pub leaves_ms: Option<u64>,
 }
 
+impl Worker {
+    /// A worker of which nothing is known yet; for stand-ins.
+    pub fn blank() -> Worker {
+        Worker {
+            name: String::new(),
+            addr: SocketAddr::from(([0, 0, 0, 0], 0)),
+            group: String::new(),
+            zone: 0,
+            region: 0,
+            leaving: false,
+            slots: 0,
+            cold_ms: 0,
+            leaves_ms: None,
+        }
+    }
+}
+
 /// The list as of one of the platform's own serials, which only grow.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Roster {
