--- a/rig/src/site/mod.rs
+++ b/rig/src/site/mod.rs
@@ -25,6 +25,7 @@
 use sorreldoor::agree::Ms;
 use sorreldoor::roster::Roster;
 use sorreldoor::setup::Site;
+use sorreldoor::thrift::Thrift;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
@@ -94,6 +95,16 @@
     /// How long edges serve on one renewal; longer only to break a rule.
     pub permit_ms: Ms,
     pub most_claims: usize,
+    /// Settings of every node of the site.
+    pub thrift: Thrift,
+    pub grow: bool,
+    pub replace_ms: Ms,
+    /// The duty's holder alone reads the list of workers, this often.
+    pub holder_polls: Option<Ms>,
+    /// Readings of the list by the duty's holder.
+    pub polls: u64,
+    /// Bytes of frames sent from one process to another.
+    pub bytes: BTreeMap<(usize, usize), u64>,
     /// How often a caller that was shed comes back, as it was told to; or
     /// after how many seconds whatever it was told.
     pub patience: u32,
@@ -143,6 +154,12 @@
             ack_ms: 2000,
             permit_ms: 2000,
             most_claims: 200_000,
+            thrift: Thrift::default(),
+            grow: false,
+            replace_ms: 10_000,
+            holder_polls: None,
+            polls: 0,
+            bytes: BTreeMap::new(),
             patience: 0,
             back_after: None,
             given: true,
--- a/rig/src/site/net.rs
+++ b/rig/src/site/net.rs
@@ -70,12 +70,14 @@
         let Some(l) = self.conns.get(&conn) else {
             return;
         };
+        let other = usize::from(l.halves[0].proc == p);
+        let t = l.halves[other].proc;
+        let n = sorreldoor::wire::pack("", &payload).len() as u64;
+        *self.bytes.entry((p, t)).or_default() += n;
         if claims(&payload) {
             self.claims_cost.0 += 1;
-            self.claims_cost.1 += sorreldoor::wire::pack("", &payload).len() as u64;
+            self.claims_cost.1 += n;
         }
-        let other = usize::from(l.halves[0].proc == p);
-        let t = l.halves[other].proc;
         if self.cuts.contains(&(p, t)) {
             if let Some(l) = self.conns.get_mut(&conn) {
                 l.halves[other].held.push(payload);
--- a/rig/src/site/procs.rs
+++ b/rig/src/site/procs.rs
@@ -2,7 +2,7 @@
 
 use super::World;
 use crate::disk::Disk;
-use sorreldoor::agree::{Member, Ms, Pace, Save};
+use sorreldoor::agree::{Member, Ms, Save};
 use sorreldoor::core::{Hub, HubEvent, HubFx, Start};
 use sorreldoor::edge::{Hall, HallEvent, HallFx};
 use sorreldoor::errand::Plan;
@@ -39,6 +39,8 @@
     pub disk: Disk,
     pub promise: Option<Vec<Member>>,
     pub sure: bool,
+    /// It is told that it may found a site.
+    pub bootstrap: bool,
     /// Tries under way at an edge: token to worker and errand.
     pub tries: BTreeMap<u64, super::workers::Try>,
     /// Highest serial this process acted on in this life.
@@ -90,6 +92,7 @@
             disk: Disk::default(),
             promise: None,
             sure: false,
+            bootstrap: true,
             tries: BTreeMap::new(),
             acted: 0,
         });
@@ -128,6 +131,8 @@
         let boot = self.rng.draw();
         let (ack, permit, site) = (self.ack_ms, self.permit_ms, self.site.clone());
         let most = self.most_claims;
+        let (grow, replace_ms) = (self.grow, self.replace_ms);
+        let (thrift, holder_polls) = (self.thrift.clone(), self.holder_polls);
         let q = &mut self.procs[p];
         q.up = true;
         q.boot += 1;
@@ -152,22 +157,26 @@
                 site,
                 seeds,
                 cores: 3,
-                replace_ms: 10_000,
-                pace: Pace::for_ack(ack),
+                replace_ms,
+                pace: thrift.pace(ack),
                 seed,
                 promise: q.promise.clone(),
                 sure: q.sure,
                 most_claims: most,
+                bootstrap: q.bootstrap,
+                grow,
+                thrift: thrift.clone(),
+                poll_ms: holder_polls,
             };
             q.role = Role::Core(Box::new(Hub::new(s, kept, now)));
         } else {
             let plan = Plan::new(site, q.name.clone(), q.zone, q.region);
-            let pull = Pull::new(&seeds, permit, now, wall).named(&q.name);
+            let pull = Pull::new(&seeds, permit, now, wall).named(&q.name).thrifty(&thrift);
             q.role = Role::Edge(Box::new(Hall::new(me, plan, pull)));
         }
         let boot = q.boot;
         self.tick(p, boot);
-        if self.procs[p].core {
+        if self.procs[p].core && self.holder_polls.is_none() {
             self.poll_roster(p, boot);
         }
     }
@@ -176,7 +185,11 @@
         if !self.procs[p].up || self.procs[p].boot != boot {
             return;
         }
-        let every = if self.procs[p].core { 10 } else { 20 };
+        let every = if self.procs[p].core {
+            self.thrift.tick_ms
+        } else {
+            20
+        };
         self.after(every, move |w| w.tick(p, boot));
         if self.procs[p].frozen_until > self.now {
             return;
@@ -265,7 +278,16 @@
             HubFx::Undial(a) => self.undial(p, a),
             HubFx::Close(c) => self.close(c),
             HubFx::Done(rid, o) => self.changed(rid, o),
-            HubFx::Looked(..) => {}
+            HubFx::Looked(..) | HubFx::Viewed(..) => {}
+            HubFx::AskRoster => {
+                self.polls += 1;
+                let serial = 0;
+                let workers = self.roster.workers.clone();
+                let r = sorreldoor::roster::Roster { serial, workers };
+                self.after(20, move |w| {
+                    w.reach_proc(p, boot, move |w| w.hub_step(p, HubEvent::Roster(Ok(r))))
+                });
+            }
             HubFx::AskLoads(epoch, to) => {
                 let names: Vec<String> = to.into_iter().map(|t| t.0).collect();
                 let region = self.procs[p].region;
--- a/rig/src/site/workers.rs
+++ b/rig/src/site/workers.rs
@@ -81,6 +81,10 @@
                 zone,
                 region,
                 leaving: false,
+                slots: 0,
+                cold_ms: 0,
+                leaves_ms: None,
+                version: String::new(),
             });
             self.workers.push(Wk {
                 name,
--- a/rig/src/tricks.rs
+++ b/rig/src/tricks.rs
@@ -91,7 +91,7 @@
     };
     let set = Settings::load(settings, &Over::default(), role).map_err(|f| f.join("; "))?;
     match role {
-        Role::Core => sorreldoor::core::run_with(set, clock, |s| TrickStore(s, t)),
+        Role::Core => sorreldoor::core::run_by(set, clock, |s| TrickStore(s, t)),
         Role::Edge => sorreldoor::edge::run_with(set, clock),
     }
 }
--- /dev/null
+++ b/rig/tests/site/growth.rs
@@ -0,0 +1,249 @@
+//! A site founded by its seeds: further cores become voters, a blank one gets
+//! its seat back, and none of it loses what was acknowledged.
+
+use super::*;
+use rig::site::Storm;
+use sorreldoor::agree::Ms;
+use sorreldoor::record::{Cmd, Outcome};
+use sorreldoor::wire::OpOutcome;
+use std::net::SocketAddr;
+
+/// Three seeds, and as many cores again that are no seeds.
+fn six(seed: u64) -> World {
+    let mut w = World::new(seed, press());
+    w.grow = true;
+    w.replace_ms = 2000;
+    for (z, (name, region)) in w.site.zones.clone().into_iter().enumerate() {
+        let addr: SocketAddr = ([127, 0, 0, 1], 7050 + z as u16).into();
+        let p = w.add(&format!("more-{name}"), true, z as u16, region, Some(addr));
+        let wait = w.rng.below(200);
+        w.after(wait, move |w| w.start(p));
+    }
+    w
+}
+
+fn voters(w: &World) -> Vec<u64> {
+    let a = w.leader().and_then(|c| w.hub(c)).and_then(|h| h.agree.as_ref());
+    let ms = a.map_or(&[][..], |a| a.members());
+    ms.iter().filter(|m| m.voter).map(|m| m.id).collect()
+}
+
+/// The identities of the cores that are up.
+fn ids(w: &World) -> Vec<u64> {
+    let up = w.cores().into_iter().filter(|c| w.procs[*c].up);
+    let mut ids: Vec<u64> = up.map(|c| w.procs[c].id).collect();
+    ids.sort();
+    ids
+}
+
+/// All cores that are up are the voters, and nobody else.
+fn whole(w: &World) -> bool {
+    let mut v = voters(w);
+    v.sort();
+    !v.is_empty() && v == ids(w)
+}
+
+fn all_six(w: &World) -> bool {
+    voters(w).len() == 6 && whole(w)
+}
+
+fn grown(seed: u64) -> World {
+    let mut w = six(seed);
+    let end = w.now + 8000;
+    assert!(w.run_until(end, all_six), "seed {seed}: {:?}", voters(&w));
+    for c in w.cores() {
+        w.procs[c].bootstrap = false;
+    }
+    w
+}
+
+fn put(w: &mut World, base: u64) -> bool {
+    let doc = rig::fleet::setup(&w.shape);
+    let at = w.cores().into_iter().find(|c| w.procs[*c].up);
+    let at = at.expect("a core is up");
+    let c = w.change(at, Cmd::Put { base, to: None, doc });
+    let end = w.now + 10_000;
+    w.run_until(end, |w| w.changes[c].outcome.is_some());
+    let taken = Outcome::Taken { serial: base + 1 };
+    w.changes[c].outcome == Some(OpOutcome::Got(taken))
+}
+
+#[test]
+fn six_cores_grow_from_three_seeds() {
+    for seed in seeds(7000..7010) {
+        let mut w = six(seed);
+        let end = w.now + 8000;
+        assert!(w.run_until(end, all_six), "seed {seed}: {:?}", voters(&w));
+        println!("seed {seed}: six voters after {} ms", w.now);
+        assert!(put(&mut w, 0), "seed {seed}");
+        // any two of six may be lost
+        let all = w.cores();
+        w.crash(all[(seed % 6) as usize]);
+        w.crash(all[((seed + 3) % 6) as usize]);
+        assert!(put(&mut w, 1), "seed {seed}");
+        sound(&w, seed);
+    }
+}
+
+/// Its disk is gone: it has another identity and no word on what it was told
+/// before, and its seat is its own again long before any silence would count.
+#[test]
+fn a_wiped_core_gets_its_seat_back_soon() {
+    for seed in seeds(7100..7115) {
+        let mut w = grown(seed);
+        w.replace_ms = 60_000;
+        assert!(put(&mut w, 0));
+        let c = w.cores()[(seed % 6) as usize];
+        let was = w.procs[c].id;
+        w.crash(c);
+        w.wipe(c);
+        w.start(c);
+        let from = w.now;
+        let back = w.run_until(from + 5000, whole);
+        assert!(back, "seed {seed}: {:?} of {:?}", voters(&w), ids(&w));
+        assert!(!voters(&w).contains(&was));
+        println!("seed {seed}: seat back after {} ms", w.now - from);
+        assert!(put(&mut w, 1), "seed {seed}");
+        w.run_for(2000);
+        sound(&w, seed);
+    }
+}
+
+/// A site of three that does not grow does the same.
+#[test]
+fn a_wiped_core_of_three_gets_its_seat_back_soon() {
+    for seed in 7200..7206 {
+        let mut w = World::ready(seed, press());
+        let c = w.cores()[(seed % 3) as usize];
+        w.crash(c);
+        w.wipe(c);
+        w.start(c);
+        let from = w.now;
+        assert!(w.run_until(from + 5000, whole), "seed {seed}");
+        w.run_for(3000);
+        sound(&w, seed);
+    }
+}
+
+#[test]
+fn a_core_lost_for_good_is_replaced_at_a_new_address() {
+    for seed in seeds(7300..7310) {
+        let mut w = grown(seed);
+        assert!(put(&mut w, 0));
+        let c = w.cores()[(seed % 6) as usize];
+        w.crash(c);
+        let wait = w.rng.below(1500);
+        w.run_for(wait);
+        let n = w.replace_core(c);
+        w.procs[n].bootstrap = false;
+        let from = w.now;
+        let done = w.run_until(from + 8000, whole);
+        assert!(done, "seed {seed}: {:?} of {:?}", voters(&w), ids(&w));
+        println!("seed {seed}: replaced after {} ms", w.now - from);
+        assert!(put(&mut w, 1), "seed {seed}");
+        sound(&w, seed);
+    }
+}
+
+/// One that was away so long that it was given up joins again by its log.
+#[test]
+fn a_core_that_was_given_up_comes_back() {
+    for seed in 7400..7405 {
+        let mut w = grown(seed);
+        let c = w.cores()[(seed % 6) as usize];
+        w.isolate(c);
+        w.run_for(30_000);
+        assert_eq!(voters(&w).len(), 5, "seed {seed}");
+        w.cuts.clear();
+        let end = w.now + 10_000;
+        assert!(w.run_until(end, whole), "seed {seed}: {:?}", voters(&w));
+        assert!(put(&mut w, 0));
+        sound(&w, seed);
+    }
+}
+
+#[test]
+fn a_blank_core_without_leave_never_founds() {
+    for seed in 7500..7510 {
+        let mut w = six(seed);
+        for c in w.cores() {
+            w.procs[c].bootstrap = false;
+        }
+        w.run_for(20_000);
+        let founded = |c: &usize| w.hub(*c).is_some_and(|h| h.agree.is_some());
+        assert!(!w.cores().iter().any(founded), "seed {seed}");
+    }
+    // nor by what it promised in a life in which it had leave
+    for seed in 7510..7520 {
+        let mut w = six(seed);
+        let promised = |w: &World| w.cores().iter().all(|c| {
+            let seed = *c < 3;
+            !seed || w.procs[*c].promise.is_some()
+        });
+        let end = w.now + 5000;
+        assert!(w.run_until(end, promised), "seed {seed}");
+        let all = w.cores();
+        for c in &all {
+            w.crash(*c);
+            w.procs[*c].bootstrap = false;
+            w.procs[*c].disk = Default::default();
+        }
+        all.iter().for_each(|c| w.start(*c));
+        w.run_for(20_000);
+        let founded = |c: &usize| w.hub(*c).is_some_and(|h| h.agree.is_some());
+        assert!(!w.cores().iter().any(founded), "seed {seed}");
+    }
+}
+
+/// One core at a time is killed, wiped or replaced, under changes; whatever
+/// was acknowledged stays, and the site is whole in the end.
+#[test]
+fn growth_under_losses_keeps_what_was_acked() {
+    for seed in seeds(7600..7620) {
+        let mut w = grown(seed);
+        assert!(put(&mut w, 0));
+        let mut base = 1;
+        for _ in 0..5 {
+            let up: Vec<usize> = w.cores().into_iter().filter(|c| w.procs[*c].up).collect();
+            let c = up[w.rng.below(up.len() as u64) as usize];
+            w.crash(c);
+            match w.rng.below(3) {
+                0 => {
+                    w.wipe(c);
+                    w.start(c);
+                }
+                1 => {
+                    let n = w.replace_core(c);
+                    w.procs[n].bootstrap = false;
+                }
+                _ => w.start(c),
+            }
+            if put(&mut w, base) {
+                base += 1;
+            }
+            let wait: Ms = 4000 + w.rng.below(3000);
+            w.run_for(wait);
+        }
+        let end = w.now + 12_000;
+        let done = w.run_until(end, whole);
+        assert!(done, "seed {seed}: {:?} of {:?}", voters(&w), ids(&w));
+        assert!(base > 1, "seed {seed}");
+        sound(&w, seed);
+    }
+}
+
+/// Storms over six cores: kills, freezes and cuts, no disk lost.
+#[test]
+fn storms_over_six_cores() {
+    for seed in seeds(7700..7706) {
+        let mut w = grown(seed);
+        assert!(put(&mut w, 0));
+        let end = w.now + 20_000;
+        w.storm(Storm::all(), end);
+        w.run_for(20_000);
+        w.heal();
+        w.run_for(30_000);
+        assert!(w.leader().is_some(), "seed {seed}");
+        sound(&w, seed);
+    }
+}
--- a/rig/tests/site/main.rs
+++ b/rig/tests/site/main.rs
@@ -4,12 +4,14 @@
 mod claims;
 mod errands;
 mod founding;
+mod growth;
 mod loads;
 mod members;
 mod mutants;
 mod regions;
 mod setups;
 mod swings;
+mod thrift;
 mod waves;
 mod zones;
 
--- a/sorreldoor/src/agree/node.rs
+++ b/sorreldoor/src/agree/node.rs
@@ -107,6 +107,8 @@
     pub(super) round: u64,
     pub(super) round_from: Nid,
     pub(super) beat_at: Ms,
+    /// When the last round of heartbeats was sent.
+    pub(super) beaten: Ms,
     pub(super) dbeat_at: Ms,
     pub(super) confirm: Option<(u64, Vec<Nid>)>,
     pub(super) confirmed: u64,
@@ -165,6 +167,7 @@
             round: 0,
             round_from: 0,
             beat_at: now,
+            beaten: now,
             dbeat_at: now,
             confirm: None,
             confirmed: 0,
--- a/sorreldoor/src/agree/reads.rs
+++ b/sorreldoor/src/agree/reads.rs
@@ -129,8 +129,14 @@
             self.read_proved(from, rid, idx);
             return;
         }
-        self.beat();
-        let round = self.round;
+        let round = if self.pace.batch == 0 {
+            self.beat();
+            self.round
+        } else {
+            // why: only a heartbeat sent after the read came proves anything
+            self.beat_at = self.beat_at.min(self.beaten + self.pace.batch);
+            self.round + 1
+        };
         self.proofs.push_back(Proof {
             from,
             rid,
--- a/sorreldoor/src/agree/replicate.rs
+++ b/sorreldoor/src/agree/replicate.rs
@@ -108,6 +108,7 @@
     /// A heartbeat in a new round; reads prove themselves by its echo.
     pub(super) fn beat(&mut self) {
         self.round += 1;
+        self.beaten = self.now;
         self.beat_at = self.now + self.pace.beat;
         for t in self.targets() {
             self.send_append(t, true);
--- a/sorreldoor/src/agree/state.rs
+++ b/sorreldoor/src/agree/state.rs
@@ -60,6 +60,11 @@
             .get(&id)
             .is_some_and(|r| r.upto > 0 && r.upto + 8 >= self.log.last().idx)
     }
+    /// Whether a Global Leader was heard of lately, or is this node.
+    pub fn led(&self) -> bool {
+        let fresh = self.now.saturating_sub(self.heard_gl) < self.pace.elect * 2;
+        self.role == Role::Lead || (self.gl.is_some() && fresh)
+    }
     pub fn disk_failed(&self) -> bool {
         self.failed
     }
--- a/sorreldoor/src/agree/types.rs
+++ b/sorreldoor/src/agree/types.rs
@@ -267,6 +267,8 @@
     /// Age of an unfinished save after which the node holds its disk stuck.
     pub stuck: Ms,
     pub tp: Ms,
+    /// Reads that come within so long share a heartbeat; 0: each has its own.
+    pub batch: Ms,
     /// A move must save at least this share, in percent.
     pub gain: u64,
     pub keep_log: u64,
@@ -302,6 +304,7 @@
             resend: ack_ms / 10,
             stuck: ack_ms / 3,
             tp: ack_ms * 5,
+            batch: 0,
             gain: 15,
             keep_log: 512,
             most_pending: 512,
--- a/sorreldoor/src/core/api.rs
+++ b/sorreldoor/src/core/api.rs
@@ -1,22 +1,42 @@
 //! Operators' HTTP at a core: each errand becomes an event for the hub.
 
-use super::events::HubEvent;
-use super::run::{Answers, Reply};
+use super::front::{Front, Looked};
+use super::source::OperatorDoor;
+use crate::events::{say, Ev};
 use crate::http;
-use crate::net::Ring;
 use crate::ops::{self, Op};
 use crate::problem::Problem;
 use crate::settings::Settings;
-use async_std::future::timeout;
+use async_std::net::TcpListener;
+use async_std::task;
 use http_types::{Method, Request, Response};
 use std::sync::Arc;
-use std::time::Duration;
+
+/// The door of the product's own HTTP interface.
+pub struct Door {
+    pub set: Arc<Settings>,
+}
+
+impl OperatorDoor for Door {
+    fn open(self, front: Front, gate: http::Gate) -> Result<(), String> {
+        let at = self.set.http;
+        let web = task::block_on(TcpListener::bind(at))
+            .map_err(|e| format!("http: cannot bind {at}: {e}"))?;
+        let most = self.set.most_connections;
+        let set = self.set;
+        let api = Api { set, front };
+        task::spawn(http::serve(web, most, gate, move |r, _| {
+            api.clone().handle(r)
+        }));
+        say(Ev::Listening, format!("http {at}"));
+        Ok(())
+    }
+}
 
 #[derive(Clone)]
 pub struct Api {
     pub set: Arc<Settings>,
-    pub ring: Ring<HubEvent>,
-    pub answers: Answers,
+    pub front: Front,
 }
 
 impl Api {
@@ -35,26 +55,10 @@
         }
     }
 
-    async fn ask(&self, f: impl FnOnce(u64) -> HubEvent) -> Option<Reply> {
-        let (rid, rx) = self.answers.open();
-        if self.ring.send(f(rid)).await.is_err() {
-            return None;
-        }
-        // why: the reducer gives up by itself first; this is only the last resort
-        let most = Duration::from_millis(self.set.ack_ms * 3 + 1000);
-        let got = timeout(most, rx.recv()).await.ok().and_then(|r| r.ok());
-        self.answers.close(rid);
-        got
-    }
-
-    async fn look(&self) -> Option<Reply> {
-        self.ask(|rid| HubEvent::Look { rid }).await
-    }
-
     async fn ready(&self) -> Response {
-        match self.look().await {
-            Some(Reply::Looked { ok: true, .. }) => http::json(200, "{\"ready\":true}".into()),
-            Some(Reply::Looked { disk: false, .. }) => http::shed(Problem::DiskFailed, "", 5),
+        match self.front.look().await {
+            Some(Looked { ok: true, .. }) => http::json(200, "{\"ready\":true}".into()),
+            Some(Looked { disk: false, .. }) => http::shed(Problem::DiskFailed, "", 5),
             _ => http::shed(Problem::NoCore, "no quorum is reached from here", 1),
         }
     }
@@ -62,18 +66,10 @@
     async fn run(&self, op: Op) -> Response {
         match op {
             Op::Check { faults } => ops::checked(&faults),
-            Op::Change { pid, cmd } => {
-                let r = self.ask(|rid| HubEvent::Change { rid, pid, cmd }).await;
-                changed(pid, r)
-            }
-            Op::DropCore { pid, id } => {
-                let r = self
-                    .ask(|rid| HubEvent::Reform { rid, pid, drop: id })
-                    .await;
-                changed(pid, r)
-            }
-            Op::Setup => match self.look().await {
-                Some(Reply::Looked { ok: true, view, .. }) => {
+            Op::Change { pid, cmd } => ops::result(pid, &self.front.change(pid, cmd).await),
+            Op::DropCore { pid, id } => ops::result(pid, &self.front.drop_core(pid, id).await),
+            Op::Setup => match self.front.look().await {
+                Some(Looked { ok: true, view, .. }) => {
                     let doc = view.doc.as_ref().map(|d| d.as_str());
                     let zones: Vec<String> = view
                         .emptied
@@ -84,25 +80,15 @@
                 }
                 _ => http::shed(Problem::NoCore, "", 1),
             },
-            Op::Status => match self.look().await {
-                Some(Reply::Looked { status, .. }) => http::json(200, status),
+            Op::Status => match self.front.look().await {
+                Some(Looked { status, .. }) => http::json(200, status),
                 _ => http::shed(Problem::NoCore, "", 1),
             },
-            Op::Metrics => match self.look().await {
-                Some(Reply::Looked { status, .. }) => ops::metrics(&status),
+            Op::Metrics => match self.front.look().await {
+                Some(Looked { status, .. }) => ops::metrics(&status),
                 _ => http::shed(Problem::NoCore, "", 1),
             },
-            Op::Proposal(pid) => {
-                let r = self.ask(|rid| HubEvent::Find { rid, pid }).await;
-                changed(pid, r)
-            }
+            Op::Proposal(pid) => ops::result(pid, &self.front.find(pid).await),
         }
     }
 }
-
-fn changed(pid: crate::agree::Pid, r: Option<Reply>) -> Response {
-    match r {
-        Some(Reply::Done(o)) => ops::result(pid, &o),
-        _ => ops::result(pid, &crate::wire::OpOutcome::Unknown),
-    }
-}
--- a/sorreldoor/src/core/deliver.rs
+++ b/sorreldoor/src/core/deliver.rs
@@ -5,7 +5,8 @@
 use crate::agree::*;
 use crate::events::Ev;
 use crate::net::Conn;
-use crate::roster::{Loads, Roster};
+use crate::record::encode;
+use crate::roster::{Loads, Roster, Worker};
 use crate::rules::{broken, Rule};
 use crate::wire::*;
 use std::collections::BTreeMap;
@@ -13,6 +14,8 @@
 
 /// An edge not heard of for so long has no session.
 const SEAT_MS: Ms = 1500;
+/// Sessions that have not changed are told again so often.
+const RETELL_MS: Ms = 5000;
 
 impl Hub {
     pub(super) fn seat(&mut self, conn: Conn, h: Hello) {
@@ -49,23 +52,72 @@
     }
 
     fn seats_changed(&mut self) {
-        self.seats_serial += 1;
         self.merge();
-        self.tell_sessions();
+        self.tell_sessions(true);
     }
 
-    fn tell_sessions(&mut self) {
+    /// This core's sessions as other cores are told of them.
+    fn own_sessions(&self) -> Vec<Seat> {
+        let all = self.seats.values().cloned();
+        if self.thrift.accounts {
+            return all.collect();
+        }
+        let bare = |s: Seat| Seat {
+            serial: 0,
+            running: 0,
+            took: Vec::new(),
+            ..s
+        };
+        all.map(bare).collect()
+    }
+
+    fn tell_sessions(&mut self, now: bool) {
+        let seats = self.own_sessions();
+        let old = self.now.saturating_sub(self.told.1) >= RETELL_MS;
+        let new = seats != self.told.0;
+        // why: what has not changed was told; now and then again, since a full
+        // ring may have dropped it
+        if !(new || old || now) {
+            return;
+        }
+        self.seats_serial += u64::from(new);
+        self.told = (seats, self.now);
+        for (c, _) in self.live_cores(3000).into_values() {
+            self.send_sessions(c);
+        }
+    }
+
+    fn send_sessions(&mut self, c: Conn) {
         let s = Sessions {
             core: self.me.id,
             boot: self.me.boot,
             serial: self.seats_serial,
-            seats: self.seats.values().cloned().collect(),
+            seats: self.told.0.clone(),
         };
-        for (c, _) in self.live_cores(3000).into_values() {
-            self.send(c, Payload::Sessions(s.clone()));
+        self.send(c, Payload::Sessions(s));
+    }
+
+    /// What a core that has just come needs to know at once.
+    pub(super) fn brief(&mut self, conn: Conn) {
+        self.send_sessions(conn);
+        if let Some(r) = self.roster_now() {
+            self.send(conn, Payload::Roster(r));
         }
     }
 
+    /// The list of workers with its times as of now.
+    fn roster_now(&self) -> Option<Arc<Roster>> {
+        let age = self.now.saturating_sub(self.roster_at);
+        self.roster.as_ref().map(|r| {
+            let timed = |w: &Worker| w.cold_ms > 0 || w.leaves_ms.is_some();
+            if r.workers.iter().any(timed) {
+                Arc::new(r.aged(age))
+            } else {
+                r.clone()
+            }
+        })
+    }
+
     pub(super) fn on_sessions(&mut self, from: Hello, s: Sessions) {
         let old = self.sessions.get(&from.id);
         // why: frames may pass each other on two lines; only news counts
@@ -94,15 +146,33 @@
             all.insert(s.hello.node.clone(), s);
         }
         let all: Vec<Seat> = all.into_values().collect();
-        if all != self.merged.1 {
-            // why: a serial that also grows across cores' restarts
-            self.merged.0 += 1;
-            self.merged.1 = all;
+        let places: Vec<Place> = all.iter().map(|s| self.place(s)).collect();
+        if places != *self.places.1 {
+            // why: the same list has the same mark on every core
+            self.places = (mark(&encode(&places)), Arc::new(places));
+        }
+        self.merged = all;
+    }
+
+    /// What edges are shown of one of them.
+    fn place(&self, s: &Seat) -> Place {
+        let r = self.agree.as_ref().map(|a| a.machine());
+        // why: how much still runs matters where it is waited for, and would
+        // elsewhere be news for everyone with each errand
+        let counts = r.is_some_and(|r| r.emptied(s.hello.zone));
+        Place {
+            node: s.hello.node.clone(),
+            zone: s.hello.zone,
+            region: s.hello.region,
+            http: s.hello.http.clone(),
+            ready: s.permit,
+            running: if counts { s.running } else { 0 },
         }
     }
 
     pub(super) fn seats_alarm(&mut self) {
-        let old = self.now.saturating_sub(SEAT_MS);
+        let silent = SEAT_MS.max(self.thrift.renew_ms * 2 + 500);
+        let old = self.now.saturating_sub(silent);
         let lost: Vec<Conn> = self
             .seats
             .keys()
@@ -114,7 +184,7 @@
             self.out.push(HubFx::Close(c));
         }
         self.merge();
-        self.tell_sessions();
+        self.tell_sessions(false);
     }
 
     /// Every edge's own account of what its errands took.
@@ -126,18 +196,40 @@
     }
 
     pub fn all_seats(&self) -> &[Seat] {
-        &self.merged.1
+        &self.merged
+    }
+
+    /// The edges as edges are shown them, under a mark of what is shown.
+    pub fn places(&self) -> &(u64, Arc<Vec<Place>>) {
+        &self.places
     }
 
-    pub(super) fn on_renew(&mut self, conn: Conn, no: u64, have: Have, doing: Doing) {
+    pub(super) fn on_renew(
+        &mut self,
+        conn: Conn,
+        ask: (u64, Have),
+        doing: Doing,
+        unproven: bool,
+    ) {
         let Some(s) = self.seats.get_mut(&conn) else {
             return;
         };
+        let turned = s.permit != doing.permit;
         s.serial = doing.serial;
         s.permit = doing.permit;
         s.running = doing.running;
         s.took = doing.took;
-        self.seats_serial += 1;
+        if turned {
+            self.seats_changed();
+        }
+        let (no, have) = ask;
+        let led = self.agree.as_ref().is_some_and(|a| a.led());
+        // why: without a leader in sight no proof will come, and who has
+        // nothing to serve by need not wait for it
+        if unproven && !led {
+            let news = self.news(&have);
+            return self.send(conn, Payload::Grant { no, ok: false, news });
+        }
         self.wants.push(Want::Grant { conn, no, have });
     }
 
@@ -169,6 +261,7 @@
         for w in wants {
             match w {
                 Want::Http(rid) => self.out.push(HubFx::Looked(rid, ok)),
+                Want::View(rid) => self.out.push(HubFx::Viewed(rid, ok)),
                 Want::Find(from, pid) => {
                     let a = self.agree.as_ref();
                     let o = a.and_then(|a| a.machine().answered(pid));
@@ -198,16 +291,19 @@
     fn news(&self, have: &Have) -> News {
         let r = self.agree.as_ref().map(|a| a.machine());
         let members = self.agree.as_ref().map_or(&[][..], |a| a.members());
+        let cores: Vec<(String, u8)> = members
+            .iter()
+            .filter(|m| m.voter)
+            .map(|m| (m.addr.clone(), m.region))
+            .collect();
+        let at = mark(&encode(&cores));
+        let places = || (self.places.0, self.places.1.to_vec());
         News {
-            cores: members
-                .iter()
-                .filter(|m| m.voter)
-                .map(|m| (m.addr.clone(), m.region))
-                .collect(),
+            cores: Some((at, cores)).filter(|c| c.0 != have.cores && !c.1.is_empty()),
             record: r.filter(|r| r.rev() > have.record).map(|r| r.view()),
-            roster: self.roster.clone().filter(|r| r.serial > have.roster),
+            roster: self.roster_now().filter(|r| r.serial > have.roster),
             loads: Some(self.loads.clone()).filter(|l| l.mark() > have.loads),
-            seats: Some(self.merged.clone()).filter(|s| s.0 != have.seats),
+            seats: (self.places.0 != have.seats).then(places),
         }
     }
 
@@ -215,9 +311,10 @@
         match r {
             Ok(r) => {
                 self.roster_problem = None;
-                self.take_roster(Arc::new(r));
+                self.listed(r);
             }
             Err(e) => {
+                self.poll.failed();
                 if self.roster_problem.is_none() {
                     self.say(Ev::RosterLost, e.clone());
                 }
@@ -234,7 +331,10 @@
         let n = r.workers.len();
         self.say(Ev::RosterRead, format!("serial {}, {n} workers", r.serial));
         self.roster = Some(r.clone());
-        for (c, _) in self.live_cores(3000).into_values() {
+        self.roster_at = self.now;
+        let cores = self.live_cores(3000).into_values().map(|(c, _)| c);
+        // why: a worker that leaves must be known of before the next renewal
+        for c in cores.chain(self.seats.keys().copied()).collect::<Vec<_>>() {
             self.send(c, Payload::Roster(r.clone()));
         }
     }
--- a/sorreldoor/src/core/duty.rs
+++ b/sorreldoor/src/core/duty.rs
@@ -6,7 +6,7 @@
 use crate::agree::*;
 use crate::events::Ev;
 use crate::record::{encode, Cmd};
-use crate::roster::{Load, Loads};
+use crate::roster::{Load, Loads, Roster};
 use crate::tune;
 use crate::wire::Payload;
 use std::sync::Arc;
@@ -15,7 +15,74 @@
 const GATHER_MS: Ms = 500;
 const TUNE_MS: Ms = 2000;
 
+/// No word of a reading for so long means that it was lost.
+const LOST_MS: Ms = 5000;
+
+/// The reading of a list of workers that has no numbers of its own.
+#[derive(Clone, Copy, Debug)]
+pub struct Poll {
+    every: Option<Ms>,
+    at: Ms,
+    /// Since when a reading is under way.
+    asked: Option<Ms>,
+    /// Lists numbered in this life, and the epoch of the last.
+    count: u64,
+    epoch: u64,
+}
+
+impl Poll {
+    pub fn new(every: Option<Ms>, now: Ms) -> Poll {
+        Poll {
+            every,
+            at: now,
+            asked: None,
+            count: 0,
+            epoch: 0,
+        }
+    }
+
+    pub fn failed(&mut self) {
+        self.asked = None;
+    }
+}
+
 impl Hub {
+    /// The holder alone reads the list: each reading has its price.
+    fn poll(&mut self) {
+        let Some(every) = self.poll.every else { return };
+        let busy = self.poll.asked.is_some_and(|t| self.now < t + LOST_MS);
+        if self.now >= self.poll.at && !busy {
+            self.poll.at = self.now + every;
+            self.poll.asked = Some(self.now);
+            self.out.push(HubFx::AskRoster);
+        }
+    }
+
+    /// A list that came: taken as it is where it has a number of its own; else
+    /// numbered under the holder's epoch, if it says anything new.
+    pub(super) fn listed(&mut self, r: Roster) {
+        if self.poll.every.is_none() {
+            return self.take_roster(Arc::new(r));
+        }
+        self.poll.asked = None;
+        if !self.on_duty() {
+            return;
+        }
+        let epoch = self.epoch();
+        let age = self.now.saturating_sub(self.roster_at);
+        let same = self.roster.as_ref().is_some_and(|o| o.same(&r.workers, age));
+        // why: a new holder's first list must be newer than all that an older
+        // one may still tell of
+        if same && self.poll.epoch == epoch {
+            return;
+        }
+        self.poll.epoch = epoch;
+        self.poll.count += 1;
+        let serial = (epoch << 32) | self.poll.count;
+        let workers = r.workers;
+        self.take_roster(Arc::new(Roster { serial, workers }));
+    }
+
     /// The agreed order: by zone, then identity; voters only.
     fn first_live(&self) -> Option<Nid> {
         let a = self.agree.as_ref()?;
@@ -27,10 +94,18 @@
             .map(|m| m.id)
     }
 
+    /// Whether this life of this core holds the duty: what it numbers under
+    /// an epoch must not begin anew within it.
     pub fn on_duty(&self) -> bool {
-        self.agree
-            .as_ref()
-            .is_some_and(|a| a.machine().holder() == self.me.id)
+        let took = |epoch: u64| self.took_above.is_some_and(|above| epoch > above);
+        let r = self.agree.as_ref().map(|a| a.machine());
+        r.is_some_and(|r| r.holder() == self.me.id && took(r.epoch()))
+    }
+
+    fn tunable(&self) -> bool {
+        let s = self.agree.as_ref().and_then(|a| a.machine().setup());
+        let free = |r: &crate::setup::Route| r.shares.iter().any(|h| h.least < h.most);
+        s.is_some_and(|s| s.routes.iter().any(free))
     }
 
     pub(super) fn duty_alarm(&mut self) {
@@ -46,12 +121,13 @@
             }
             return;
         }
-        if self.now >= self.duty_at {
+        if self.thrift.gather && self.now >= self.duty_at {
             self.duty_at = self.now + GATHER_MS;
             self.gather();
         }
+        self.poll();
         self.watch_recovery();
-        if self.now >= self.tune_at {
+        if self.now >= self.tune_at && self.tunable() {
             self.tune_at = self.now + TUNE_MS;
             self.tune();
         }
@@ -60,6 +136,7 @@
     fn take_duty(&mut self) {
         let above = self.agree.as_ref().map_or(0, |a| a.machine().epoch());
         let holder = self.me.id;
+        self.took_above = Some(above);
         self.say(Ev::DutyTaken, format!("epoch {}", above + 1));
         self.propose(Cmd::Duty { holder, above });
     }
--- a/sorreldoor/src/core/events.rs
+++ b/sorreldoor/src/core/events.rs
@@ -6,6 +6,7 @@
 use crate::record::Cmd;
 use crate::roster::{Load, Roster};
 use crate::setup::Site;
+use crate::thrift::Thrift;
 use crate::wire::*;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -21,6 +22,7 @@
 #[derive(Clone, Debug)]
 pub enum Want {
     Http(u64),
+    View(u64),
     Find(OpFrom, Pid),
     Grant { conn: Conn, no: u64, have: Have },
 }
@@ -45,6 +47,10 @@
     Look {
         rid: u64,
     },
+    /// Like `Look`, without the status, which takes its time.
+    View {
+        rid: u64,
+    },
     /// What became of a proposal, once this core is proved current.
     Find {
         rid: u64,
@@ -70,6 +76,9 @@
     Done(u64, OpOutcome),
     /// The state is proved current; the daemon reads it off now.
     Looked(u64, bool),
+    Viewed(u64, bool),
+    /// Read the list of workers; it comes as `HubEvent::Roster`.
+    AskRoster,
     /// Ask these workers for their load, under the epoch given.
     AskLoads(u64, Vec<(String, SocketAddr)>),
     Say(Ev, String),
@@ -89,4 +98,12 @@
     pub sure: bool,
     /// Errand ids remembered at most.
     pub most_claims: usize,
+    /// Without it a blank core joins a site and never founds one.
+    pub bootstrap: bool,
+    /// The seeds found the site, and every further core becomes a voter.
+    pub grow: bool,
+    pub thrift: Thrift,
+    /// The holder of the duty alone reads the list of workers, this often,
+    /// and numbers it; none: the lists that come have numbers of their own.
+    pub poll_ms: Option<Ms>,
 }
--- a/sorreldoor/src/core/found.rs
+++ b/sorreldoor/src/core/found.rs
@@ -7,9 +7,12 @@
 use crate::net::Conn;
 use crate::record::{encode, Record};
 use crate::wire::*;
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
+/// A site that grows gives up a core silent for so many times `replace_ms`.
+const LONG: Ms = 10;
+
 fn member_of(h: &Hello, voter: bool) -> Member {
     Member {
         id: h.id,
@@ -50,9 +53,10 @@
             let set = self.promise.clone().unwrap_or_default();
             return self.send(c, Payload::Founding(Founding::Promise { set }));
         }
-        if self.promise.is_none() && live.len() + 1 == self.cores {
-            let mut set: Vec<Member> = live.values().map(|(_, h)| member_of(h, true)).collect();
-            set.push(member_of(&self.me, true));
+        if !self.bootstrap {
+            return;
+        }
+        if let Some(mut set) = self.founding_set(&live) {
             set.sort_by_key(|m| m.id);
             // why: a promise binds across restarts, so that no two sets of
             // cores that share one can both be founded
@@ -75,6 +79,26 @@
         }
     }
 
+    /// Whom to found with, once all of them are here and nothing is promised.
+    fn founding_set(&self, live: &BTreeMap<Nid, (Conn, Hello)>) -> Option<Vec<Member>> {
+        let all: Vec<&Hello> = live.values().map(|(_, h)| h).chain([&self.me]).collect();
+        let by = |h: &&&Hello| !self.grow || self.founder(h);
+        let set: Vec<&Hello> = all.iter().filter(by).copied().collect();
+        let wanted = if self.grow {
+            self.founders.len()
+        } else {
+            self.cores
+        };
+        // why: a core that is no seed waits until the seeds have founded
+        let mine = set.iter().any(|h| h.id == self.me.id);
+        let ready = self.promise.is_none() && mine && set.len() == wanted;
+        ready.then(|| set.into_iter().map(|h| member_of(h, true)).collect())
+    }
+
+    fn founder(&self, h: &Hello) -> bool {
+        h.addr.parse().is_ok_and(|a| self.founders.contains(&a))
+    }
+
     fn found(&mut self, set: Vec<Member>) {
         self.say(Ev::Founded, names(&set));
         let r = Record::new(self.site.clone());
@@ -138,8 +162,9 @@
             return;
         }
         let ms = a.members().to_vec();
-        let live = self.live_cores(1500);
-        let next = joiner(&ms, &live.values().map(|(_, h)| h).collect::<Vec<_>>())
+        let live = self.freshest();
+        let next = joiner(&ms, &live, self.grow)
+            .or_else(|| self.usurped(&ms, &live))
             .or_else(|| self.promoted(&ms))
             .or_else(|| self.removed(&ms));
         if let Some((ms, why)) = next {
@@ -148,6 +173,45 @@
         }
     }
 
+    /// Live cores, one for each address: the one heard last. What an earlier
+    /// process there said is still on its line for a while.
+    fn freshest(&self) -> Vec<Hello> {
+        let since = self.now.saturating_sub(1500);
+        let heard = self.lines.values().filter(|l| l.heard >= since);
+        let mut by: BTreeMap<&str, (Ms, &Hello)> = BTreeMap::new();
+        for l in heard {
+            let Some(h) = l.hello.as_ref().filter(|h| h.core) else {
+                continue;
+            };
+            let at = by.entry(&h.addr).or_insert((l.heard, h));
+            if l.heard > at.0 {
+                *at = (l.heard, h);
+            }
+        }
+        by.into_values().map(|(_, h)| h.clone()).collect()
+    }
+
+    /// At a member's address another identity answers: the member's disk is
+    /// gone for certain. Its seat is given over once the newcomer has caught
+    /// up, without waiting; one that had no seat is just dropped.
+    fn usurped(&self, ms: &[Member], live: &[Hello]) -> Option<(Vec<Member>, String)> {
+        let a = self.agree.as_ref()?;
+        let ready = |h: &Hello| ms.iter().any(|m| m.id == h.id) && a.caught_up(h.id);
+        let by = |m: &Member| {
+            let here = |h: &&Hello| h.addr == m.addr && h.id != m.id;
+            live.iter().find(here).filter(|h| !m.voter || ready(h))
+        };
+        let (old, new) = ms
+            .iter()
+            .filter(|m| m.id != self.me.id)
+            .find_map(|m| by(m).map(|h| (m, h)))?;
+        // why: first out, then in: what is left needs no word from the dead,
+        // and holds all that was ever agreed with it
+        let out = ms.iter().filter(|m| m.id != old.id).cloned().collect();
+        let why = format!("{:x} came back blank as {:x}", old.id, new.id);
+        Some((out, why))
+    }
+
     fn propose_members(&mut self, ms: Vec<Member>) {
         let pid = self.own_pid();
         self.duty_pid = Some(pid);
@@ -155,18 +219,32 @@
         self.agreed(Event::Propose { pid, body });
     }
 
-    fn gone(&self, m: &Member) -> bool {
+    fn silent(&self, m: &Member, ms: Ms) -> bool {
         let silent = self.agree.as_ref().and_then(|a| a.silent_for(m.id));
-        m.voter && m.id != self.me.id && silent.is_some_and(|s| s >= self.replace_ms)
+        m.voter && m.id != self.me.id && silent.is_some_and(|s| s >= ms)
+    }
+
+    fn gone(&self, m: &Member) -> bool {
+        self.silent(m, self.replace_ms)
     }
 
-    /// A caught-up non-voter takes a seat that is short or whose core is gone.
+    /// A caught-up non-voter gets a free seat, or the seat of a lost core of
+    /// its zone. A site that grows has a seat for everyone.
     fn promoted(&self, ms: &[Member]) -> Option<(Vec<Member>, String)> {
         let a = self.agree.as_ref()?;
         let voters = ms.iter().filter(|m| m.voter).count();
         let fits = |l: &Member| {
-            let lost = ms.iter().any(|m| m.zone == l.zone && self.gone(m));
-            a.caught_up(l.id) && (voters < self.cores || lost)
+            let near = |m: &&Member| m.zone == l.zone;
+            let lost = ms.iter().filter(near).any(|m| self.gone(m));
+            // why: one that is silent may be just what the newcomer replaces,
+            // and its seat is then not needed beside the newcomer's
+            let quiet = ms.iter().filter(near).any(|m| self.silent(m, self.pace.dead));
+            let free = if self.grow {
+                !quiet
+            } else {
+                voters < self.cores || lost
+            };
+            a.caught_up(l.id) && free
         };
         let l = ms.iter().find(|m| !m.voter && fits(m))?;
         let mut out = ms.to_vec();
@@ -176,12 +254,26 @@
         Some((out, format!("{:x} becomes a voter", l.id)))
     }
 
-    /// A lost core goes once there are more voters than the site should have.
+    /// A lost core goes once there are more voters than the site should have;
+    /// where the site grows, once another of its zone waits for its seat.
     fn removed(&self, ms: &[Member]) -> Option<(Vec<Member>, String)> {
         let voters = ms.iter().filter(|m| m.voter).count();
+        let spare = |m: &Member| {
+            if !self.grow {
+                return voters > self.cores && self.gone(m);
+            }
+            let a = self.agree.as_ref();
+            let waits = |l: &Member| !l.voter && l.zone == m.zone;
+            let heir = ms.iter().filter(|l| waits(l));
+            let heir = heir.map(|l| l.id).any(|l| a.is_some_and(|a| a.caught_up(l)));
+            // why: one that is gone for long only makes majorities harder to
+            // reach; it joins again if it does come back
+            let long = voters > self.cores && self.silent(m, self.replace_ms * LONG);
+            (heir && self.gone(m)) || long
+        };
         let lost = ms
             .iter()
-            .find(|m| voters > self.cores && self.gone(m))
+            .find(|m| spare(m))
             .or_else(|| ms.iter().find(|m| !m.voter && self.lost_learner(m)))?;
         let out = ms.iter().filter(|m| m.id != lost.id).cloned().collect();
         Some((out, format!("{:x} is removed", lost.id)))
@@ -218,14 +310,17 @@
     }
 }
 
-/// A blank core that is no member yet becomes a non-voter.
-fn joiner(ms: &[Member], live: &[&Hello]) -> Option<(Vec<Member>, String)> {
-    let h = live.iter().find(|h| ms.iter().all(|m| m.id != h.id))?;
+/// A core that is no member yet becomes a non-voter: a blank one, or one that
+/// was given up and has come back.
+fn joiner(ms: &[Member], live: &[Hello], grow: bool) -> Option<(Vec<Member>, String)> {
+    let new = |h: &&Hello| ms.iter().all(|m| m.id != h.id);
+    let h = live.iter().find(new)?;
     // why: an old address must not lead to two members
     let taken = ms.iter().any(|m| m.addr == h.addr && m.voter);
     let mut out = ms.to_vec();
     out.push(member_of(h, false));
-    Some((out, format!("{} joins as a non-voter", h.node))).filter(|_| !taken || ms.len() < 16)
+    let room = ms.len() < 16 || (!taken && !grow);
+    Some((out, format!("{} joins as a non-voter", h.node))).filter(|_| room)
 }
 
 fn names(set: &[Member]) -> String {
--- /dev/null
+++ b/sorreldoor/src/core/front.rs
@@ -0,0 +1,146 @@
+//! What stands between those who serve callers and the core's reducer: they
+//! ask here, and wait for what the reducer says.
+
+use super::events::HubEvent;
+use crate::agree::Pid;
+use crate::net::Ring;
+use crate::record::{Cmd, View};
+use crate::wire::{OpOutcome, Place};
+use async_std::channel::{bounded, Receiver, Sender};
+use async_std::future::timeout;
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+/// What a waiting task is told.
+pub enum Reply {
+    Done(OpOutcome),
+    Looked(Looked),
+}
+
+/// The core's state as it was read off.
+pub struct Looked {
+    /// It was proved current after it was asked for.
+    pub ok: bool,
+    /// Its disk works.
+    pub disk: bool,
+    /// As JSON; empty where it was not asked for.
+    pub status: String,
+    pub view: Box<View>,
+}
+
+type Waiting = Arc<Mutex<HashMap<u64, Sender<Reply>>>>;
+
+fn locked<T>(m: &Mutex<T>) -> MutexGuard<'_, T> {
+    m.lock().unwrap_or_else(|p| p.into_inner())
+}
+
+/// Tasks that wait for the hub, by number.
+#[derive(Clone, Default)]
+pub struct Answers {
+    waiting: Waiting,
+    next: Arc<AtomicU64>,
+}
+
+impl Answers {
+    pub fn open(&self) -> (u64, Receiver<Reply>) {
+        let rid = self.next.fetch_add(1, Ordering::Relaxed) + 1;
+        let (tx, rx) = bounded(1);
+        locked(&self.waiting).insert(rid, tx);
+        (rid, rx)
+    }
+    pub fn close(&self, rid: u64) {
+        locked(&self.waiting).remove(&rid);
+    }
+    pub(super) fn give(&self, rid: u64, r: Reply) {
+        let tx = locked(&self.waiting).remove(&rid);
+        // why: whoever has stopped waiting needs no result
+        let _ = tx.map(|t| t.try_send(r).is_ok());
+    }
+}
+
+/// A core as a door sees it.
+#[derive(Clone)]
+pub struct Front {
+    pub ring: Ring<HubEvent>,
+    pub answers: Answers,
+    /// Milliseconds within which a change should have its answer.
+    pub ack_ms: u64,
+    pub(super) places: Arc<Mutex<Arc<Vec<Place>>>>,
+}
+
+impl Front {
+    pub fn new(ring: Ring<HubEvent>, ack_ms: u64) -> Front {
+        Front {
+            ring,
+            answers: Answers::default(),
+            ack_ms,
+            places: Arc::default(),
+        }
+    }
+
+    async fn ask(&self, f: impl FnOnce(u64) -> HubEvent) -> Option<Reply> {
+        let (rid, rx) = self.answers.open();
+        if self.ring.send(f(rid)).await.is_err() {
+            return None;
+        }
+        // why: the reducer gives up by itself first; this is only the last resort
+        let most = Duration::from_millis(self.ack_ms * 3 + 1000);
+        let got = timeout(most, rx.recv()).await.ok().and_then(|r| r.ok());
+        self.answers.close(rid);
+        got
+    }
+
+    async fn done(&self, f: impl FnOnce(u64) -> HubEvent) -> OpOutcome {
+        match self.ask(f).await {
+            Some(Reply::Done(o)) => o,
+            _ => OpOutcome::Unknown,
+        }
+    }
+
+    /// Proposes a change; `Unknown` where no word came in time, and the same
+    /// change may be proposed again under the same id.
+    pub async fn change(&self, pid: Pid, cmd: Cmd) -> OpOutcome {
+        self.done(|rid| HubEvent::Change { rid, pid, cmd }).await
+    }
+
+    /// What became of a proposal.
+    pub async fn find(&self, pid: Pid) -> OpOutcome {
+        self.done(|rid| HubEvent::Find { rid, pid }).await
+    }
+
+    /// Gives up a core without waiting.
+    pub async fn drop_core(&self, pid: Pid, drop: u64) -> OpOutcome {
+        self.done(|rid| HubEvent::Reform { rid, pid, drop }).await
+    }
+
+    /// The core's state with its status, proved current if `ok`.
+    pub async fn look(&self) -> Option<Looked> {
+        match self.ask(|rid| HubEvent::Look { rid }).await {
+            Some(Reply::Looked(l)) => Some(l),
+            _ => None,
+        }
+    }
+
+    /// The record, proved current after this was called; none where that
+    /// cannot be had in time.
+    pub async fn view(&self) -> Option<Box<View>> {
+        match self.ask(|rid| HubEvent::View { rid }).await {
+            Some(Reply::Looked(l)) if l.ok => Some(l.view),
+            _ => None,
+        }
+    }
+
+    /// The edges with a session, and whether they serve, as last heard.
+    pub fn places(&self) -> Arc<Vec<Place>> {
+        locked(&self.places).clone()
+    }
+
+    pub(super) fn show(&self, p: &Arc<Vec<Place>>) {
+        let mut shown = locked(&self.places);
+        if !Arc::ptr_eq(&shown, p) {
+            *shown = p.clone();
+        }
+    }
+}
--- a/sorreldoor/src/core/hub.rs
+++ b/sorreldoor/src/core/hub.rs
@@ -1,6 +1,6 @@
 //! The core's one reducer: frames, saves, operators and alarms in, effects out.
 
-use super::events::{HubEvent, HubFx, OpFrom, Start, Want};
+use super::events::{HubEvent, HubFx, OpFrom, Want};
 use super::lines::Line;
 use crate::agree::*;
 use crate::events::Ev;
@@ -9,6 +9,7 @@
 use crate::roster::{Loads, Roster};
 use crate::seam::{Now, Reducer};
 use crate::setup::Site;
+use crate::thrift::Thrift;
 use crate::wire::*;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -19,6 +20,11 @@
     pub site: Arc<Site>,
     pub(super) cores: usize,
     pub(super) replace_ms: Ms,
+    pub(super) bootstrap: bool,
+    pub(super) grow: bool,
+    /// The addresses that found the site, where it grows.
+    pub(super) founders: BTreeSet<SocketAddr>,
+    pub(super) thrift: Thrift,
     pub(super) pace: Pace,
     pub(super) seed: u64,
     pub agree: Option<Agree<Record>>,
@@ -30,8 +36,15 @@
     pub(super) seats: BTreeMap<Conn, Seat>,
     pub(super) seats_serial: u64,
     pub(super) sessions: BTreeMap<Nid, Sessions>,
-    pub(super) merged: (u64, Vec<Seat>),
+    /// All edges' sessions, and what edges are shown of them.
+    pub(super) merged: Vec<Seat>,
+    pub(super) places: (u64, Arc<Vec<Place>>),
+    /// The sessions as last told to other cores, and when.
+    pub(super) told: (Vec<Seat>, Ms),
     pub roster: Option<Arc<Roster>>,
+    /// When the list came, for the times in it.
+    pub(super) roster_at: Ms,
+    pub(super) poll: super::duty::Poll,
     pub roster_problem: Option<String>,
     pub loads: Arc<Loads>,
     pub(super) wants: Vec<Want>,
@@ -41,6 +54,8 @@
     pub(super) first_since: Option<Ms>,
     pub(super) duty_at: Ms,
     pub(super) duty_pid: Option<Pid>,
+    /// The epoch above which this life has asked for the duty.
+    pub(super) took_above: Option<u64>,
     pub(super) tune_at: Ms,
     pub(super) recovery: BTreeMap<u8, super::regions::Watch>,
     pub(super) claims: super::claims::Claims,
@@ -77,6 +92,7 @@
             HubEvent::Change { rid, pid, cmd } => self.change(OpFrom::Http(rid), pid, cmd),
             HubEvent::Reform { rid, pid, drop } => self.reform(rid, pid, drop),
             HubEvent::Look { rid } => self.wants.push(Want::Http(rid)),
+            HubEvent::View { rid } => self.wants.push(Want::View(rid)),
             HubEvent::Find { rid, pid } => self.wants.push(Want::Find(OpFrom::Http(rid), pid)),
             HubEvent::Roster(r) => self.on_roster(r),
             HubEvent::Loads { epoch, rows } => self.on_loads(epoch, rows),
@@ -88,67 +104,14 @@
 }
 
 impl Hub {
-    pub fn new(s: Start, kept: Option<Kept>, now: Ms) -> Hub {
-        let mut h = Hub {
-            me: s.me,
-            site: s.site,
-            cores: s.cores,
-            replace_ms: s.replace_ms,
-            pace: s.pace,
-            seed: s.seed,
-            agree: None,
-            promise: s.promise,
-            promises: BTreeMap::new(),
-            seeds: s.seeds,
-            dials: BTreeSet::new(),
-            lines: BTreeMap::new(),
-            seats: BTreeMap::new(),
-            seats_serial: 0,
-            sessions: BTreeMap::new(),
-            merged: (0, Vec::new()),
-            roster: None,
-            roster_problem: None,
-            loads: Arc::default(),
-            wants: Vec::new(),
-            reading: BTreeMap::new(),
-            next_rid: 1,
-            ops: BTreeMap::new(),
-            first_since: None,
-            duty_at: now,
-            duty_pid: None,
-            tune_at: now,
-            recovery: BTreeMap::new(),
-            claims: super::claims::Claims::new(&[], s.most_claims, now),
-            smooth: Default::default(),
-            times: Default::default(),
-            slow_at: now,
-            last_serial: 0,
-            leaving: false,
-            quorum: false,
-            wall: 0,
-            now,
-            out: Vec::new(),
-        };
-        if let Some(k) = kept {
-            h.claims = super::claims::Claims::new(&k.claims, s.most_claims, now);
-            // why: a founder forgets nothing; who joined later says so itself
-            h.claims.learn.sure = s.sure || h.promise.is_some();
-            let mut r = Record::new(h.site.clone());
-            if let Some(s) = &k.snap {
-                r.load(&s.image);
-            }
-            h.agree = Some(Agree::new(h.me.id, h.pace.clone(), k, r, h.seed, now));
-            h.me.founded = true;
-        }
-        h.redial();
-        h
-    }
-
     pub(super) fn say(&mut self, ev: Ev, about: impl Into<String>) {
         self.out.push(HubFx::Say(ev, about.into()));
     }
 
     pub(super) fn send(&mut self, conn: Conn, p: Payload) {
+        if let Some(l) = self.lines.get_mut(&conn) {
+            l.sent = self.now;
+        }
         self.out.push(HubFx::Send(conn, p));
     }
 
@@ -161,10 +124,6 @@
     }
 
     fn slow_alarm(&mut self) {
-        let conns: Vec<Conn> = self.lines.keys().copied().collect();
-        for c in conns {
-            self.send(c, Payload::Ping { no: 0 });
-        }
         if self.agree.is_none() {
             self.founding_alarm();
         } else {
@@ -173,6 +132,7 @@
         }
         self.seats_alarm();
         self.claims_alarm();
+        self.ping();
     }
 
     fn net(&mut self, n: NetEvent) {
@@ -185,6 +145,7 @@
                         dialled,
                         hello: None,
                         heard,
+                        sent: heard,
                     },
                 );
                 let hello = self.me.clone();
@@ -222,7 +183,12 @@
             Payload::Sessions(s) if from.core => self.on_sessions(from, s),
             Payload::Roster(r) if from.core => self.take_roster(r),
             Payload::Loads(l) if from.core => self.take_loads(l),
-            Payload::Renew { no, have, doing } => self.on_renew(conn, no, have, doing),
+            Payload::Renew {
+                no,
+                have,
+                doing,
+                unproven,
+            } => self.on_renew(conn, (no, have), doing, unproven),
             Payload::Op { rid, pid, cmd } => self.change(OpFrom::Edge(conn, rid), pid, cmd),
             Payload::Claim { rid, claim } => self.on_claim(conn, rid, claim),
             Payload::ClaimAsk { no, claim } if from.core => self.on_claim_ask(conn, no, claim),
@@ -268,9 +234,13 @@
         if !h.core {
             self.seat(conn, h.clone());
         }
+        let core = h.core;
         if let Some(l) = self.lines.get_mut(&conn) {
             l.hello = Some(h);
         }
+        if core {
+            self.brief(conn);
+        }
     }
 
     /// Run one event through the consensus reducer and carry out its effects.
--- a/sorreldoor/src/core/learn.rs
+++ b/sorreldoor/src/core/learn.rs
@@ -50,7 +50,7 @@
     }
 
     pub(super) fn learn_claims(&mut self) {
-        if self.agree.is_none() || self.now < self.claims.learn.at {
+        if self.agree.is_none() || self.now < self.claims.learn.at || !self.thrift.claims {
             return;
         }
         if broken(Rule::Learned) {
@@ -140,7 +140,8 @@
         let vs = self.voter_ids();
         let ended = self.claims.learn.read.iter();
         let ended = ended.filter(|(n, r)| r.end && vs.contains(n)).count();
-        ended >= self.cores - self.cores / 2
+        let n = self.cores.max(vs.len());
+        ended >= n - n / 2
     }
 }
 
--- a/sorreldoor/src/core/lines.rs
+++ b/sorreldoor/src/core/lines.rs
@@ -3,15 +3,22 @@
 use super::hub::Hub;
 use crate::agree::{Ms, Nid};
 use crate::net::Conn;
-use crate::wire::Hello;
+use crate::wire::{Hello, Payload};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
+/// Between signs of life on a line that nothing depends on.
+const SPARE_MS: Ms = 1000;
+/// What is due before the next alarm is said with this one.
+const EARLY_MS: Ms = 50;
+
 #[derive(Clone, Debug)]
 pub struct Line {
     pub dialled: Option<SocketAddr>,
     pub hello: Option<Hello>,
     pub heard: Ms,
+    /// When something was last sent on it.
+    pub sent: Ms,
 }
 
 impl Hub {
@@ -33,6 +40,26 @@
         m
     }
 
+    /// A sign of life on lines that were silent for long enough.
+    pub(super) fn ping(&mut self) {
+        let ms = self.thrift.ping_ms;
+        // why: of two lines between cores one carries what is said; the other
+        // only has to stay open, and so has an edge's, which gets its grants
+        let spare = |c: &Conn, l: &Line| match &l.hello {
+            Some(h) if h.core => self.line_to(h.id) != Some(*c),
+            Some(_) => true,
+            None => false,
+        };
+        let due = |c: &Conn, l: &Line| {
+            let every = if spare(c, l) { ms.max(SPARE_MS) } else { ms };
+            self.now.saturating_sub(l.sent) + EARLY_MS >= every
+        };
+        let all = self.lines.iter().filter(|(c, l)| due(c, l));
+        for c in all.map(|(c, _)| *c).collect::<Vec<_>>() {
+            self.send(c, Payload::Ping { no: 0 });
+        }
+    }
+
     pub(super) fn line_to(&self, id: Nid) -> Option<Conn> {
         let named = |l: &Line| l.hello.as_ref().is_some_and(|h| h.id == id);
         self.lines
--- a/sorreldoor/src/core/run.rs
+++ b/sorreldoor/src/core/run.rs
@@ -1,71 +1,30 @@
 //! The core's daemon: threads and rings around the hub's reducer.
 
-use super::api::Api;
+use super::api::Door;
 use super::events::{HubEvent, HubFx, Start};
+use super::front::{Front, Looked, Reply};
 use super::hub::Hub;
-use crate::agree::{Member, Pace, Save};
+use super::source::{Listed, OperatorDoor, WorkerSource};
+use crate::agree::{Member, Save};
 use crate::events::{say, Ev};
 use crate::http::{self, Call};
 use crate::net::{Net, NetEvent, Ring};
-use crate::record::{decode, encode, View};
+use crate::record::{decode, encode};
 use crate::roster::{self, Load};
 use crate::seam::{self, Hand, Now, Reducer};
 use crate::settings::Settings;
 use crate::store::{keep_file, read_file, Opened, Store, WalStore};
-use crate::wire::{Hello, OpOutcome};
-use async_std::channel::{bounded, Receiver, Sender};
+use crate::wire::Hello;
+use async_std::channel::{bounded, Sender};
 use async_std::net::TcpListener;
 use async_std::task;
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::path::Path;
-use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
 
 const RING: usize = 4096;
-const TICK: Duration = Duration::from_millis(10);
-
-/// What a waiting HTTP task is told.
-pub enum Reply {
-    Done(OpOutcome),
-    Looked {
-        ok: bool,
-        disk: bool,
-        status: String,
-        view: Box<View>,
-    },
-}
-
-type Waiting = Arc<Mutex<HashMap<u64, Sender<Reply>>>>;
-
-/// HTTP tasks that wait for the hub, by number.
-#[derive(Clone, Default)]
-pub struct Answers {
-    waiting: Waiting,
-    next: Arc<AtomicU64>,
-}
-
-impl Answers {
-    pub fn open(&self) -> (u64, Receiver<Reply>) {
-        let rid = self.next.fetch_add(1, Ordering::Relaxed) + 1;
-        let (tx, rx) = bounded(1);
-        self.lock().insert(rid, tx);
-        (rid, rx)
-    }
-    pub fn close(&self, rid: u64) {
-        self.lock().remove(&rid);
-    }
-    fn give(&self, rid: u64, r: Reply) {
-        let tx = self.lock().remove(&rid);
-        // why: whoever has stopped waiting needs no result
-        let _ = tx.map(|t| t.try_send(r).is_ok());
-    }
-    fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<u64, Sender<Reply>>> {
-        self.waiting.lock().unwrap_or_else(|p| p.into_inner())
-    }
-}
 
 /// The core's identity: random, made once, synced before it is used.
 fn identity(dir: &Path) -> std::io::Result<u64> {
@@ -79,14 +38,42 @@
 }
 
 pub fn run(set: Settings) -> Result<(), String> {
-    run_with(set, seam::Machine::default(), |s| s)
+    run_by(set, seam::Machine::default(), |s| s)
+}
+
+/// With the product's own list of workers and door, and another clock, or
+/// something around the store.
+///
+/// # Errors
+/// Why the core cannot start, in words.
+pub fn run_by<C, S>(
+    set: Settings,
+    clock: C,
+    wrap: impl FnOnce(WalStore) -> S,
+) -> Result<(), String>
+where
+    C: seam::Clock,
+    S: Store + 'static,
+{
+    let shared = Arc::new(set.clone());
+    let source = set.platform.map(|at| {
+        let set = shared.clone();
+        Arc::new(Listed { set, at }) as Arc<dyn WorkerSource>
+    });
+    run_with(set, clock, wrap, source, Door { set: shared })
 }
 
-/// With another clock, or something around the store.
+/// Runs a core until it is told to stop, with a list of workers from `source`
+/// and operators served by `door`.
+///
+/// # Errors
+/// Why the core cannot start, in words.
 pub fn run_with<C, S>(
     set: Settings,
     clock: C,
     wrap: impl FnOnce(WalStore) -> S,
+    source: Option<Arc<dyn WorkerSource>>,
+    door: impl OperatorDoor,
 ) -> Result<(), String>
 where
     C: seam::Clock,
@@ -112,15 +99,10 @@
     let sure = read_file(&dir, "sure").map_err(|e| format!("data: sure: {e}"))?;
     let (ring, rx) = bounded(RING);
     let listen = set.listen.ok_or("listen: is missing")?;
-    let (frames, web) = task::block_on(async {
-        let f = TcpListener::bind(listen)
-            .await
-            .map_err(|e| format!("listen: cannot bind {listen}: {e}"))?;
-        let w = TcpListener::bind(set.http)
-            .await
-            .map_err(|e| format!("http: cannot bind {}: {e}", set.http))?;
-        Ok::<_, String>((f, w))
-    })?;
+    let frames = task::block_on(TcpListener::bind(listen))
+        .map_err(|e| format!("listen: cannot bind {listen}: {e}"))?;
+    let each = source.as_ref().is_some_and(|s| s.numbered());
+    let poll_ms = source.as_ref().filter(|_| !each).map(|s| s.pace_ms());
     let start = Start {
         me: Hello {
             id,
@@ -137,11 +119,15 @@
         seeds: set.seeds.clone(),
         cores: set.cores,
         replace_ms: set.replace_ms,
-        pace: Pace::for_ack(set.ack_ms),
+        pace: set.thrift.pace(set.ack_ms),
         seed: crate::ops::fresh(),
         promise,
         sure: sure.is_some(),
         most_claims: set.most_claims,
+        bootstrap: set.bootstrap,
+        grow: set.grow,
+        thrift: set.thrift.clone(),
+        poll_ms,
     };
     let kept = Some(mirror).filter(|m| !m.blank()).map(|m| m.kept());
     let hub = Hub::new(start, kept, 0);
@@ -152,30 +138,24 @@
         set.most_connections,
     );
     task::spawn(net.clone().listen(frames));
-    let answers = Answers::default();
-    let api = Api {
-        set: set.clone(),
-        ring: ring.clone(),
-        answers: answers.clone(),
-    };
+    let front = Front::new(ring.clone(), set.ack_ms);
     let gate = http::Gate::default();
-    let most = set.most_connections;
-    task::spawn(http::serve(web, most, gate.clone(), move |r, _| {
-        api.clone().handle(r)
-    }));
     say(Ev::Started, format!("core {} ({id:x})", set.node));
-    say(Ev::Listening, format!("frames {listen}, http {}", set.http));
-    crate::run::ticker(ring.clone(), TICK, || HubEvent::Alarm);
+    say(Ev::Listening, format!("frames {listen}"));
+    door.open(front.clone(), gate.clone())?;
+    let tick = Duration::from_millis(set.thrift.tick_ms);
+    crate::run::ticker(ring.clone(), tick, || HubEvent::Alarm);
     crate::run::on_term(ring.clone(), || HubEvent::Stop)?;
-    if let Some(p) = set.platform {
-        task::spawn(watch_platform(set.clone(), p, ring.clone()));
+    if let Some(s) = source.clone().filter(|_| each) {
+        task::spawn(watch_list(s, ring.clone()));
     }
     let saves = store_thread(wrap(store), ring.clone());
     let mut hub = hub;
     let mut hand = Daemon {
         net,
         set,
-        answers,
+        front,
+        source,
         saves,
         ring,
         gate,
@@ -216,20 +196,14 @@
     tx
 }
 
-async fn watch_platform(set: Arc<Settings>, at: SocketAddr, ring: Ring<HubEvent>) {
-    let to = set.reached(at);
-    loop {
-        let got = http::call(to, Call::get("/workers"), 1 << 20, Duration::from_secs(1)).await;
-        let r = got
-            .map_err(|b| format!("{at}: {b:?}"))
-            .and_then(|c| match c.status {
-                200 => roster::read_roster(&c.body, &set.names),
-                s => Err(format!("{at}: status {s}")),
-            });
-        if ring.send(HubEvent::Roster(r)).await.is_err() {
-            return;
-        }
-        task::sleep(Duration::from_millis(500)).await;
+async fn read_list(src: Arc<dyn WorkerSource>, ring: Ring<HubEvent>) -> bool {
+    let r = src.poll().await;
+    ring.send(HubEvent::Roster(r)).await.is_ok()
+}
+
+async fn watch_list(src: Arc<dyn WorkerSource>, ring: Ring<HubEvent>) {
+    while read_list(src.clone(), ring.clone()).await {
+        task::sleep(Duration::from_millis(src.pace_ms())).await;
     }
 }
 
@@ -267,7 +241,8 @@
 struct Daemon {
     net: Net<HubEvent>,
     set: Arc<Settings>,
-    answers: Answers,
+    front: Front,
+    source: Option<Arc<dyn WorkerSource>>,
     saves: Sender<(u64, Save)>,
     ring: Ring<HubEvent>,
     gate: http::Gate,
@@ -276,6 +251,7 @@
 
 impl Hand<Hub> for Daemon {
     fn goes_on(&mut self, hub: &Hub) -> bool {
+        self.front.show(&hub.places().1);
         if hub.leaving && self.stop_at.is_none() {
             say(Ev::Leaving, "core");
             // why: what was just acked should still reach the others
@@ -317,17 +293,16 @@
             HubFx::Dial(a) => self.net.dial(a, self.set.reached(a)),
             HubFx::Undial(a) => self.net.undial(a),
             HubFx::Close(c) => self.net.close(c),
-            HubFx::Done(rid, o) => self.answers.give(rid, Reply::Done(o)),
+            HubFx::Done(rid, o) => self.front.answers.give(rid, Reply::Done(o)),
             HubFx::Looked(rid, ok) => {
                 use simd_json::prelude::*;
-                let a = hub.agree.as_ref();
-                let r = Reply::Looked {
-                    ok,
-                    disk: a.is_none_or(|a| !a.disk_failed()),
-                    status: hub.status().encode(),
-                    view: Box::new(a.map(|a| a.machine().view()).unwrap_or_default()),
-                };
-                self.answers.give(rid, r);
+                self.looked(hub, rid, ok, hub.status().encode());
+            }
+            HubFx::Viewed(rid, ok) => self.looked(hub, rid, ok, String::new()),
+            HubFx::AskRoster => {
+                if let Some(s) = self.source.clone() {
+                    task::spawn(read_list(s, self.ring.clone()));
+                }
             }
             HubFx::AskLoads(epoch, to) => {
                 task::spawn(ask_loads(self.set.clone(), epoch, to, self.ring.clone()));
@@ -336,3 +311,16 @@
         }
     }
 }
+
+impl Daemon {
+    fn looked(&self, hub: &Hub, rid: u64, ok: bool, status: String) {
+        let a = hub.agree.as_ref();
+        let l = Looked {
+            ok,
+            disk: a.is_none_or(|a| !a.disk_failed()),
+            status,
+            view: Box::new(a.map(|a| a.machine().view()).unwrap_or_default()),
+        };
+        self.front.answers.give(rid, Reply::Looked(l));
+    }
+}
--- /dev/null
+++ b/sorreldoor/src/core/start.rs
@@ -0,0 +1,77 @@
+//! A hub as it starts: from nothing, or from what its store kept.
+
+use super::events::Start;
+use super::hub::Hub;
+use crate::agree::{Agree, Kept, Machine, Ms};
+use crate::record::Record;
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+impl Hub {
+    pub fn new(s: Start, kept: Option<Kept>, now: Ms) -> Hub {
+        let promised = s.promise.is_some();
+        let mut h = Hub {
+            me: s.me,
+            site: s.site,
+            cores: s.cores,
+            replace_ms: s.replace_ms,
+            bootstrap: s.bootstrap,
+            grow: s.grow,
+            founders: s.seeds.iter().copied().filter(|_| s.grow).collect(),
+            thrift: s.thrift,
+            pace: s.pace,
+            seed: s.seed,
+            agree: None,
+            // why: whoever may not found must not use what it once promised
+            promise: s.promise.filter(|_| s.bootstrap),
+            promises: BTreeMap::new(),
+            seeds: s.seeds,
+            dials: BTreeSet::new(),
+            lines: BTreeMap::new(),
+            seats: BTreeMap::new(),
+            seats_serial: 0,
+            sessions: BTreeMap::new(),
+            merged: Vec::new(),
+            places: (0, Arc::default()),
+            told: (Vec::new(), now),
+            roster: None,
+            roster_problem: None,
+            roster_at: now,
+            poll: super::duty::Poll::new(s.poll_ms, now),
+            loads: Arc::default(),
+            wants: Vec::new(),
+            reading: BTreeMap::new(),
+            next_rid: 1,
+            ops: BTreeMap::new(),
+            first_since: None,
+            duty_at: now,
+            duty_pid: None,
+            took_above: None,
+            tune_at: now,
+            recovery: BTreeMap::new(),
+            claims: super::claims::Claims::new(&[], s.most_claims, now),
+            smooth: Default::default(),
+            times: Default::default(),
+            slow_at: now,
+            last_serial: 0,
+            leaving: false,
+            quorum: false,
+            wall: 0,
+            now,
+            out: Vec::new(),
+        };
+        if let Some(k) = kept {
+            h.claims = super::claims::Claims::new(&k.claims, s.most_claims, now);
+            // why: a founder forgets nothing; who joined later says so itself
+            h.claims.learn.sure = s.sure || promised;
+            let mut r = Record::new(h.site.clone());
+            if let Some(s) = &k.snap {
+                r.load(&s.image);
+            }
+            h.agree = Some(Agree::new(h.me.id, h.pace.clone(), k, r, h.seed, now));
+            h.me.founded = true;
+        }
+        h.redial();
+        h
+    }
+}
--- a/sorreldoor/src/core/status.rs
+++ b/sorreldoor/src/core/status.rs
@@ -84,7 +84,7 @@
             &emptied.unwrap_or_default(),
             self.roster.as_ref().map_or(&[][..], |r| &r.workers),
             &self.loads,
-            self.all_seats(),
+            self.all_seats().iter().map(|s| (s.hello.zone, s.running)),
         );
         let _ = v.insert("zones", zones);
         let _ = v.insert("edges", self.edges());
--- a/sorreldoor/src/doctor/look.rs
+++ b/sorreldoor/src/doctor/look.rs
@@ -87,7 +87,7 @@
     .flatten();
     match got.map(|b| wire::unpack(mark, &b)) {
         Some(Ok(Payload::Hello(h))) => Seed::Core(Box::new(h)),
-        Some(Err(Refused::Site(m))) => Seed::OtherSite(m),
+        Some(Err(Refused::Site(m))) => Seed::OtherSite(format!("mark {m:x}")),
         Some(Err(Refused::Protocol(p))) => Seed::OtherProtocol(p),
         _ => Seed::Unreached,
     }
--- a/sorreldoor/src/edge/hall.rs
+++ b/sorreldoor/src/edge/hall.rs
@@ -229,7 +229,7 @@
         match f {
             PullFx::Dial(a) => self.out.push(HallFx::Dial(a)),
             PullFx::Undial(a) => self.out.push(HallFx::Undial(a)),
-            PullFx::Renew { conn, no } => {
+            PullFx::Renew { conn, no, unproven } => {
                 let have = self.pull.have.clone();
                 let doing = Doing {
                     serial: self.plan.shown.view.serial,
@@ -241,7 +241,12 @@
                     took: self.took(),
                 };
                 self.out
-                    .push(HallFx::Send(conn, Payload::Renew { no, have, doing }));
+                    .push(HallFx::Send(conn, Payload::Renew {
+                        no,
+                        have,
+                        doing,
+                        unproven,
+                    }));
             }
             PullFx::Lost => self.say(Ev::SessionLost, "silent"),
             PullFx::Woken(s) => self.say(Ev::Woken, s),
@@ -366,7 +371,7 @@
             &s.view.emptied,
             &s.roster.workers,
             &s.loads,
-            &s.seats.1,
+            s.seats.1.iter().map(|p| (p.zone, p.running)),
         );
         let _ = v.insert("zones", zones);
         let mut n = Val::object();
--- a/sorreldoor/src/edge/run.rs
+++ b/sorreldoor/src/edge/run.rs
@@ -104,7 +104,9 @@
         boot: crate::ops::fresh(),
     };
     let plan = Plan::new(set.names.clone(), set.node.clone(), set.zone, set.region);
-    let pull = Pull::new(&set.seeds, set.permit_ms, 0, clock.now().wall).named(&set.node);
+    let pull = Pull::new(&set.seeds, set.permit_ms, 0, clock.now().wall)
+        .named(&set.node)
+        .thrifty(&set.thrift);
     let desk = Desk::default();
     let api = Api {
         set: set.clone(),
--- a/sorreldoor/src/edge/session.rs
+++ b/sorreldoor/src/edge/session.rs
@@ -6,7 +6,10 @@
 use crate::errand::Wish;
 use crate::events::Ev;
 use crate::net::{Conn, NetEvent};
+use crate::pull::Granted;
+use crate::roster::Roster;
 use crate::wire::*;
+use std::sync::Arc;
 
 /// Ends of claims that are told again, at most, and how often.
 const FREES: usize = 65_536;
@@ -55,16 +58,32 @@
                 self.frees.remove(&rid);
             }
             Payload::OpDone { rid, outcome } => self.on_done(rid, outcome),
+            // why: renewals are sign of life enough on the session's own line
+            Payload::Ping { .. } if self.pull.conn == Some(conn) => {}
             Payload::Ping { .. } => self.out.push(HallFx::Send(conn, Payload::Ping { no: 0 })),
+            Payload::Roster(r) => self.take_roster(r),
             _ => {}
         }
     }
 
     fn on_grant(&mut self, no: u64, ok: bool, news: News) {
-        // why: news from a core that could not prove itself may be old
-        if self.pull.granted(no, ok, self.now) {
-            self.take_news(news);
-            self.looked(no, true);
+        // why: news from a core that could not prove itself may be old, and is
+        // taken only by an edge that has none at all
+        let some = news.record.as_ref().is_some_and(|r| r.doc.is_some());
+        match self.pull.granted(no, ok, some, self.now) {
+            Granted::Proved => {
+                self.take_news(news);
+                self.looked(no, true);
+            }
+            Granted::Unproved => self.take_news(news),
+            Granted::No => {}
+        }
+    }
+
+    fn take_roster(&mut self, r: Arc<Roster>) {
+        if r.serial > self.pull.have.roster {
+            self.pull.have.roster = r.serial;
+            self.plan.take_roster(r);
         }
     }
 
@@ -88,8 +107,7 @@
             }
         }
         if let Some(r) = n.roster {
-            self.pull.have.roster = r.serial;
-            self.plan.take_roster(r);
+            self.take_roster(r);
         }
         if let Some(l) = n.loads {
             self.pull.have.loads = l.mark();
@@ -99,13 +117,12 @@
             self.pull.have.seats = s.0;
             self.plan.take_seats(s);
         }
-        let region = self.me.region;
-        let cores = n
-            .cores
-            .iter()
-            .filter_map(|(a, r)| a.parse().ok().map(|a| (a, *r == region)))
-            .collect();
-        self.pull.take_cores(cores);
+        if let Some((at, cores)) = n.cores {
+            self.pull.have.cores = at;
+            let region = self.me.region;
+            let near = |(a, r): &(String, u8)| a.parse().ok().map(|a| (a, *r == region));
+            self.pull.take_cores(cores.iter().filter_map(near).collect());
+        }
     }
 
     /// One try of one life of this edge, unlike any other.
--- a/sorreldoor/src/errand/plan.rs
+++ b/sorreldoor/src/errand/plan.rs
@@ -5,7 +5,7 @@
 use crate::roster::{Loads, Roster, Worker};
 use crate::rules::{broken, Rule};
 use crate::setup::{self, Setup, Site};
-use crate::wire::Seat;
+use crate::wire::Place;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -19,7 +19,7 @@
     pub view: View,
     pub roster: Arc<Roster>,
     pub loads: Arc<Loads>,
-    pub seats: (u64, Vec<Seat>),
+    pub seats: (u64, Vec<Place>),
 }
 
 #[derive(Default)]
@@ -89,7 +89,7 @@
         }
     }
 
-    pub fn take_seats(&mut self, s: (u64, Vec<Seat>)) {
+    pub fn take_seats(&mut self, s: (u64, Vec<Place>)) {
         self.shown.seats = s;
         self.rebuild();
     }
@@ -126,8 +126,7 @@
             .seats
             .1
             .iter()
-            .filter(|s| !s.hello.core)
-            .map(|s| (s.hello.node.clone(), s.hello.region))
+            .map(|s| (s.node.clone(), s.region))
             .collect();
         // why: an edge that is not listed yet must still count itself
         if !self.edges.iter().any(|(e, _)| *e == self.me) {
@@ -235,18 +234,18 @@
 
     /// Edges that serve, best first for a caller with this key and region.
     pub fn edges_for(&self, region: Option<u8>, only: bool, key: &str) -> Vec<String> {
-        let mut all: Vec<&Seat> = self
+        let mut all: Vec<&Place> = self
             .shown
             .seats
             .1
             .iter()
-            .filter(|s| !s.hello.core && s.permit && !self.emptied(s.hello.zone))
-            .filter(|s| !only || region == Some(s.hello.region))
+            .filter(|s| s.ready && !self.emptied(s.zone))
+            .filter(|s| !only || region == Some(s.region))
             .collect();
         all.sort_by_key(|s| {
-            let away = region.is_some_and(|r| r != s.hello.region);
-            (away, std::cmp::Reverse(place::mix(key, &s.hello.node)))
+            let away = region.is_some_and(|r| r != s.region);
+            (away, std::cmp::Reverse(place::mix(key, &s.node)))
         });
-        all.iter().map(|s| s.hello.http.clone()).collect()
+        all.iter().map(|s| s.http.clone()).collect()
     }
 }
--- a/sorreldoor/src/lib.rs
+++ b/sorreldoor/src/lib.rs
@@ -23,5 +23,6 @@
 pub mod settings;
 pub mod setup;
 pub mod store;
+pub mod thrift;
 pub mod tune;
 pub mod wire;
--- a/sorreldoor/src/ops.rs
+++ b/sorreldoor/src/ops.rs
@@ -7,7 +7,7 @@
 use crate::record::{Cmd, Outcome};
 use crate::roster::{Loads, Worker};
 use crate::setup::{self, Site};
-use crate::wire::{OpOutcome, Seat};
+use crate::wire::OpOutcome;
 use http_types::{Method, Request, Response};
 use simd_json::prelude::*;
 use std::time::Duration;
@@ -211,17 +211,22 @@
     emptied: &[u16],
     workers: &[Worker],
     loads: &Loads,
-    seats: &[Seat],
+    at_edges: impl Iterator<Item = (u16, u32)>,
 ) -> Vec<Val> {
+    let mut busy_edges = vec![0u32; site.zones.len()];
+    for (z, n) in at_edges {
+        if let Some(all) = busy_edges.get_mut(usize::from(z)) {
+            *all += n;
+        }
+    }
     let row = |z: u16, name: &str| {
         let mine = workers.iter().filter(|w| w.zone == z);
         let busy = |w: &Worker| loads.of(&w.name).map_or(0, |l| l.running + l.queued);
-        let edges = seats.iter().filter(|s| !s.hello.core && s.hello.zone == z);
         let mut o = Val::object();
         let _ = o.insert("zone", name);
         let _ = o.insert("emptied", emptied.contains(&z));
         let _ = o.insert("at_workers", mine.map(busy).sum::<u32>());
-        let _ = o.insert("at_edges", edges.map(|s| s.running).sum::<u32>());
+        let _ = o.insert("at_edges", busy_edges[usize::from(z)]);
         o
     };
     let names = site.zones.iter().enumerate();
--- a/sorreldoor/src/pull.rs
+++ b/sorreldoor/src/pull.rs
@@ -3,6 +3,7 @@
 
 use crate::agree::Ms;
 use crate::rules::{broken, Rule};
+use crate::thrift::Thrift;
 use crate::wire::Have;
 use std::net::SocketAddr;
 
@@ -11,6 +12,9 @@
 /// A wall clock that runs ahead of the monotonic one by so much was suspended.
 const JUMP: i64 = 1000;
 const SILENT: Ms = 900;
+/// Between renewals, and between those while the permit runs out.
+const RENEW_MS: Ms = 300;
+const AGAIN_MS: Ms = 120;
 /// Between tries to come to a core of one's own region.
 const HOME_MS: Ms = 10_000;
 
@@ -36,6 +40,20 @@
     last_event: Ms,
     last_wall: i64,
     was: bool,
+    renew_ms: Ms,
+    began: Ms,
+    unproven_after: Option<Ms>,
+    /// A core has proved itself in this life.
+    proved: bool,
+}
+
+/// What came of a grant.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Granted {
+    Proved,
+    /// Not proved, and taken for want of any record.
+    Unproved,
+    No,
 }
 
 /// What the edge should do about its session now.
@@ -43,7 +61,12 @@
 pub enum PullFx {
     Dial(SocketAddr),
     Undial(SocketAddr),
-    Renew { conn: u64, no: u64 },
+    Renew {
+        conn: u64,
+        no: u64,
+        /// A record that is not proved current will do.
+        unproven: bool,
+    },
     Lost,
     Woken(String),
     PermitLost,
@@ -70,6 +93,10 @@
             last_event: now,
             last_wall: wall,
             was: false,
+            renew_ms: RENEW_MS,
+            began: now,
+            unproven_after: None,
+            proved: false,
         }
     }
 
@@ -80,6 +107,27 @@
         }
     }
 
+    /// Renewed so often, and content with an unproven record after so long
+    /// without any.
+    pub fn thrifty(self, t: &Thrift) -> Pull {
+        Pull {
+            renew_ms: t.renew_ms,
+            unproven_after: t.unproven_after_ms,
+            ..self
+        }
+    }
+
+    /// Silence after which a session counts as lost.
+    fn silent(&self) -> Ms {
+        SILENT.max(self.renew_ms * 2 + 300)
+    }
+
+    fn unproven(&self, now: Ms) -> bool {
+        let due = |ms| now.saturating_sub(self.began) >= ms;
+        // why: once anything was proved, nothing unproved is taken any more
+        !self.proved && self.unproven_after.is_some_and(due)
+    }
+
     pub fn permit(&self, now: Ms) -> bool {
         now < self.permit_until || broken(Rule::Permit)
     }
@@ -133,8 +181,9 @@
             self.sent.remove(0);
         }
         let soon = self.left(now) < self.permit_ms / 2;
-        self.renew_at = now + if soon { 120 } else { 300 };
-        PullFx::Renew { conn, no: self.no }
+        self.renew_at = now + if soon { AGAIN_MS.min(self.renew_ms) } else { self.renew_ms };
+        let (no, unproven) = (self.no, self.unproven(now));
+        PullFx::Renew { conn, no, unproven }
     }
 
     pub fn last_no(&self) -> u64 {
@@ -147,7 +196,7 @@
     fn go_home(&mut self, now: Ms, out: &mut Vec<PullFx>) {
         let near = |a: &SocketAddr| self.cores.iter().any(|(c, n)| *n && c == a);
         if let Some((a, since)) = self.trying {
-            let late = now.saturating_sub(since) > SILENT;
+            let late = now.saturating_sub(since) > self.silent();
             if late || self.conn.is_none() {
                 self.trying = None;
                 out.extend(Some(PullFx::Undial(a)).filter(|_| self.dialled != Some(a)));
@@ -170,7 +219,7 @@
 
     /// Keep a session with one core; go on to the next when it is silent.
     fn session(&mut self, now: Ms, out: &mut Vec<PullFx>) {
-        let silent = now.saturating_sub(self.heard) > SILENT;
+        let silent = now.saturating_sub(self.heard) > self.silent();
         if self.dialled.is_some() && !silent {
             return;
         }
@@ -212,21 +261,30 @@
         }
     }
 
-    /// A grant came: it counts from when its renewal was sent.
-    pub fn granted(&mut self, no: u64, ok: bool, now: Ms) -> bool {
+    /// A grant came: it counts from when its renewal was sent. `some` tells
+    /// that it brings a record.
+    pub fn granted(&mut self, no: u64, ok: bool, some: bool, now: Ms) -> Granted {
         let Some(i) = self.sent.iter().position(|(n, _)| *n == no) else {
-            return false;
+            return Granted::No;
         };
         let at = self.sent[i].1;
         self.sent.drain(..=i);
-        if ok {
+        let lone = !ok && self.unproven(now) && (some || self.have.record > 0);
+        self.proved |= ok;
+        if ok || lone {
             self.heard = now;
             self.permit_until = self.permit_until.max(at + self.permit_ms);
+            // why: what was sent to be sure is not needed any more
+            self.renew_at = self.renew_at.max(at + self.renew_ms);
         } else {
             // why: a core without a quorum is no use for long; look on sooner
-            self.heard = self.heard.min(now.saturating_sub(SILENT / 2));
+            self.heard = self.heard.min(now.saturating_sub(self.silent() / 2));
+        }
+        match (ok, lone) {
+            (true, _) => Granted::Proved,
+            (_, true) => Granted::Unproved,
+            _ => Granted::No,
         }
-        ok
     }
 
     /// The cores as the site has them now; those of one's own region first.
--- a/sorreldoor/src/record/mod.rs
+++ b/sorreldoor/src/record/mod.rs
@@ -140,6 +140,9 @@
     pub fn setup(&self) -> Option<&Arc<Setup>> {
         self.setup.as_ref()
     }
+    pub fn emptied(&self, zone: u16) -> bool {
+        self.kept.emptied.contains(&zone)
+    }
     pub fn region(&self, r: u8) -> Recovery {
         self.kept
             .regions
--- a/sorreldoor/src/roster.rs
+++ b/sorreldoor/src/roster.rs
@@ -14,8 +14,51 @@
     pub zone: u16,
     pub region: u8,
     pub leaving: bool,
+    /// Requests it works on at once, where the list says so; else 0.
+    #[serde(default)]
+    pub slots: u32,
+    /// How much longer it stays cold as of now, in milliseconds.
+    #[serde(default)]
+    pub cold_ms: u64,
+    /// In how many milliseconds it is gone, where that is known.
+    #[serde(default)]
+    pub leaves_ms: Option<u64>,
+    /// Of its software; empty where the list does not say.
+    #[serde(default)]
+    pub version: String,
+}
+
+impl Worker {
+    /// The same, so many milliseconds later.
+    fn aged(&self, ms: u64) -> Worker {
+        Worker {
+            cold_ms: self.cold_ms.saturating_sub(ms),
+            leaves_ms: self.leaves_ms.map(|l| l.saturating_sub(ms)),
+            ..self.clone()
+        }
+    }
+
+    /// Whether another listing says the same of it, apart from time gone by:
+    /// what was to end in `ms` now ends so much sooner.
+    fn same(&self, later: &Worker, ms: u64) -> bool {
+        let a = self.aged(ms);
+        let sooner = |x: u64, y: u64| x <= y + SLACK_MS;
+        let still = Worker {
+            cold_ms: later.cold_ms,
+            leaves_ms: later.leaves_ms,
+            ..self.clone()
+        };
+        let ends = match (a.leaves_ms, later.leaves_ms) {
+            (Some(x), Some(y)) => x.abs_diff(y) <= SLACK_MS,
+            (x, y) => x == y,
+        };
+        still == *later && sooner(later.cold_ms, a.cold_ms) && ends
+    }
 }
 
+/// Times told by two listings may differ by so much and still mean the same.
+const SLACK_MS: u64 = 1000;
+
 /// The list as of one of the platform's own serials, which only grow.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Roster {
@@ -54,6 +97,22 @@
     }
 }
 
+impl Roster {
+    /// The same, so many milliseconds later.
+    pub fn aged(&self, ms: u64) -> Roster {
+        Roster {
+            serial: self.serial,
+            workers: self.workers.iter().map(|w| w.aged(ms)).collect(),
+        }
+    }
+
+    /// Whether another list, read `ms` later, says nothing new.
+    pub fn same(&self, later: &[Worker], ms: u64) -> bool {
+        let pairs = || self.workers.iter().zip(later);
+        self.workers.len() == later.len() && pairs().all(|(a, b)| a.same(b, ms))
+    }
+}
+
 const MOST: usize = 1 << 20;
 
 pub fn read_roster(text: &[u8], site: &Site) -> Result<Roster, String> {
@@ -105,6 +164,10 @@
         zone,
         region: site.region_of_zone(zone)?,
         leaving: state == "leaving",
+        slots: 0,
+        cold_ms: 0,
+        leaves_ms: None,
+        version: String::new(),
     })
 }
 
--- a/sorreldoor/src/settings.rs
+++ b/sorreldoor/src/settings.rs
@@ -2,6 +2,7 @@
 
 use crate::js::{self, Faults, Obj, Val};
 use crate::setup::Site;
+use crate::thrift::{self, Thrift};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -30,6 +31,11 @@
     pub most_body: usize,
     pub most_connections: usize,
     pub most_claims: usize,
+    /// A blank core may found a site with the others; else it only joins one.
+    pub bootstrap: bool,
+    /// The site is founded by its seeds, and further cores become voters too.
+    pub grow: bool,
+    pub thrift: Thrift,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -57,6 +63,8 @@
     "most_body",
     "most_connections",
     "most_claims",
+    "bootstrap",
+    "grow",
 ];
 
 /// Values given as flags; each replaces the file's.
@@ -107,7 +115,7 @@
 }
 
 fn whole(v: &Val, over: &Over, role: Role, f: &mut Faults) -> Option<Settings> {
-    let o = f.object(v, "", KEYS)?;
+    let o = f.object(v, "", &[KEYS, &thrift::KEYS].concat())?;
     let site = o.must_text("site", f).unwrap_or("").to_string();
     if !site.is_empty() && !js::good_name(&site) {
         f.add("site", "must be a plain name");
@@ -137,6 +145,7 @@
     if listen.is_some() && listen == http {
         f.add("http", "is the same address as listen");
     }
+    let grow = o.flag("grow", f).unwrap_or(false);
     Some(Settings {
         site,
         names,
@@ -145,8 +154,8 @@
         region,
         listen,
         http: http.unwrap_or(SocketAddr::from(([127, 0, 0, 1], 0))),
+        cores: cores(&o, grow, seeds.len(), f),
         seeds,
-        cores: o.num("cores", 1, 9, f).unwrap_or(3) as usize,
         data,
         platform,
         reach,
@@ -157,9 +166,18 @@
         most_body: o.num("most_body", 1024, 64 << 20, f).unwrap_or(1 << 20) as usize,
         most_claims: o.num("most_claims", 1000, 10_000_000, f).unwrap_or(200_000) as usize,
         most_connections: o.num("most_connections", 1, 65_536, f).unwrap_or(2048) as usize,
+        bootstrap: o.flag("bootstrap", f).unwrap_or(true),
+        grow,
+        thrift: Thrift::read(&o, f),
     })
 }
 
+fn cores(o: &Obj, grow: bool, seeds: usize, f: &mut Faults) -> usize {
+    let n = o.num("cores", 1, 9, f).map(|n| n as usize);
+    // why: a site that grows is founded by its seeds, however many there are
+    n.unwrap_or(if grow { seeds.clamp(1, 9) } else { 3 })
+}
+
 fn text(over: &Option<String>, o: &Obj, k: &str, f: &mut Faults) -> String {
     let got = over
         .clone()
--- /dev/null
+++ b/sorreldoor/src/thrift.rs
@@ -0,0 +1,92 @@
+//! How often a node speaks, and what it leaves unsaid: settings for sites
+//! where bytes, wake-ups and calls are dear.
+
+use crate::agree::{Ms, Pace};
+use crate::js::{Faults, Obj};
+
+/// Names of the settings read here.
+pub const KEYS: [&str; 9] = [
+    "tick_ms",
+    "beat_ms",
+    "renew_ms",
+    "ping_ms",
+    "batch_ms",
+    "gather",
+    "claims",
+    "accounts",
+    "unproven_after_ms",
+];
+
+/// Defaults are those of a site where none of it is dear. Times are in
+/// milliseconds.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Thrift {
+    /// Between alarms of a core.
+    pub tick_ms: Ms,
+    /// Between a leader's heartbeats; none: a fortieth of `ack_ms`.
+    pub beat_ms: Option<Ms>,
+    /// Between an edge's renewals.
+    pub renew_ms: Ms,
+    /// A line on which nothing was said for so long is given a sign of life.
+    pub ping_ms: Ms,
+    /// Reads that come within so long are proved together; 0: each at once.
+    pub batch_ms: Ms,
+    /// The duty's holder asks workers for their load.
+    pub gather: bool,
+    /// Cores read each other's claims on errand ids.
+    pub claims: bool,
+    /// Cores tell each other what edges are doing, not only that they serve.
+    pub accounts: bool,
+    /// An edge without any record takes an unproven one after so long.
+    pub unproven_after_ms: Option<Ms>,
+}
+
+impl Default for Thrift {
+    fn default() -> Thrift {
+        Thrift {
+            tick_ms: 10,
+            beat_ms: None,
+            renew_ms: 300,
+            ping_ms: 250,
+            batch_ms: 0,
+            gather: true,
+            claims: true,
+            accounts: true,
+            unproven_after_ms: None,
+        }
+    }
+}
+
+impl Thrift {
+    pub fn read(o: &Obj, f: &mut Faults) -> Thrift {
+        let d = Thrift::default();
+        Thrift {
+            tick_ms: o.num("tick_ms", 1, 250, f).unwrap_or(d.tick_ms),
+            beat_ms: o.num("beat_ms", 20, 2000, f),
+            renew_ms: o.num("renew_ms", 50, 2000, f).unwrap_or(d.renew_ms),
+            ping_ms: o.num("ping_ms", 50, 1000, f).unwrap_or(d.ping_ms),
+            batch_ms: o.num("batch_ms", 0, 1000, f).unwrap_or(d.batch_ms),
+            gather: o.flag("gather", f).unwrap_or(d.gather),
+            claims: o.flag("claims", f).unwrap_or(d.claims),
+            accounts: o.flag("accounts", f).unwrap_or(d.accounts),
+            unproven_after_ms: o.num("unproven_after_ms", 0, 600_000, f),
+        }
+    }
+
+    /// The protocol's waits for answers within `ack_ms`.
+    pub fn pace(&self, ack_ms: Ms) -> Pace {
+        let p = Pace::for_ack(ack_ms);
+        let beat = self.beat_ms.unwrap_or(p.beat);
+        // why: whoever misses three heartbeats may think its leader gone, and
+        // no one sooner
+        let least = beat * 4;
+        Pace {
+            beat,
+            elect: p.elect.max(least),
+            dead: p.dead.max(least),
+            waive: p.waive.max(least),
+            batch: self.batch_ms,
+            ..p
+        }
+    }
+}
--- a/sorreldoor/src/wire.rs
+++ b/sorreldoor/src/wire.rs
@@ -1,5 +1,5 @@
 //! Frames between the site's own processes: a length, a protocol number, and
-//! the site's mark with one payload in ciborium.
+//! a hash of the site's mark with one payload in ciborium.
 
 use crate::agree::{Member, Msg, Nid, Noted, Pid};
 use crate::record::{Cmd, Outcome, View};
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 
 /// Raised when a frame changes in a way that an older node cannot read.
-pub const PROTO: u16 = 2;
+pub const PROTO: u16 = 3;
 /// The largest setup fits in, with the outcomes a snapshot keeps beside it.
 pub const MOST_FRAME: usize = 16 << 20;
 
@@ -40,6 +40,23 @@
     pub took: Vec<Took>,
 }
 
+/// What an edge needs to know of another: where it is, and whether it serves.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Place {
+    pub node: String,
+    pub zone: u16,
+    pub region: u8,
+    pub http: String,
+    pub ready: bool,
+    /// Errands it still has, told of edges in emptied zones only.
+    #[serde(default, skip_serializing_if = "zero")]
+    pub running: u32,
+}
+
+fn zero<T: Default + PartialEq>(t: &T) -> bool {
+    *t == T::default()
+}
+
 /// Errands of a route through a service that an edge has finished since its
 /// start, and their milliseconds in all.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
@@ -62,33 +79,51 @@
 /// What a node has, one serial for each source; what is newer it is sent.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Have {
+    #[serde(default, skip_serializing_if = "zero")]
     pub record: u64,
+    #[serde(default, skip_serializing_if = "zero")]
     pub roster: u64,
+    #[serde(default, skip_serializing_if = "zero")]
     pub loads: (u64, u64),
+    /// Marks of what the lists of places and of cores hold.
+    #[serde(default, skip_serializing_if = "zero")]
     pub seats: u64,
+    #[serde(default, skip_serializing_if = "zero")]
+    pub cores: u64,
 }
 
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct News {
+    #[serde(default, skip_serializing_if = "zero")]
     pub record: Option<View>,
+    #[serde(default, skip_serializing_if = "zero")]
     pub roster: Option<Arc<Roster>>,
+    #[serde(default, skip_serializing_if = "zero")]
     pub loads: Option<Arc<Loads>>,
-    pub seats: Option<(u64, Vec<Seat>)>,
-    /// Where the cores are now, with their regions.
-    pub cores: Vec<(String, u8)>,
+    #[serde(default, skip_serializing_if = "zero")]
+    pub seats: Option<(u64, Vec<Place>)>,
+    /// Where the cores are now, with their regions, under a mark of it.
+    #[serde(default, skip_serializing_if = "zero")]
+    pub cores: Option<(u64, Vec<(String, u8)>)>,
 }
 
 /// How an edge is doing, told with each renewal.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Doing {
+    #[serde(default, skip_serializing_if = "zero")]
     pub serial: u64,
+    #[serde(default, skip_serializing_if = "zero")]
     pub permit: bool,
+    #[serde(default, skip_serializing_if = "zero")]
     pub running: u32,
     /// First tries, retries and sheds since its start.
+    #[serde(default, skip_serializing_if = "zero")]
     pub first: u64,
+    #[serde(default, skip_serializing_if = "zero")]
     pub again: u64,
+    #[serde(default, skip_serializing_if = "zero")]
     pub shed: u64,
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "zero")]
     pub took: Vec<Took>,
 }
 
@@ -110,12 +145,18 @@
     Loads(Arc<Loads>),
     Renew {
         no: u64,
+        #[serde(default, skip_serializing_if = "zero")]
         have: Have,
+        #[serde(default, skip_serializing_if = "zero")]
         doing: Doing,
+        /// An edge without any record takes one that is not proved current.
+        #[serde(default, skip_serializing_if = "zero")]
+        unproven: bool,
     },
     Grant {
         no: u64,
         ok: bool,
+        #[serde(default, skip_serializing_if = "zero")]
         news: News,
     },
     Op {
@@ -208,7 +249,7 @@
 pub enum Refused {
     TooLong(usize),
     Protocol(u16),
-    Site(String),
+    Site(u64),
     Unreadable,
 }
 
@@ -217,7 +258,7 @@
         match self {
             Refused::TooLong(n) => write!(f, "frame of {n} bytes, {MOST_FRAME} at most"),
             Refused::Protocol(p) => write!(f, "protocol {p}, this node speaks {PROTO}"),
-            Refused::Site(s) => write!(f, "from another site: {s:?}"),
+            Refused::Site(s) => write!(f, "from another site, marked {s:x}"),
             Refused::Unreadable => write!(f, "frame cannot be decoded"),
         }
     }
@@ -226,7 +267,7 @@
 pub fn pack(site: &str, p: &Payload) -> Vec<u8> {
     let mut b = vec![0; 6];
     // why: writing to memory fails only where serde itself is misused
-    ciborium::into_writer(&(site, p), &mut b).expect("plain data always encodes");
+    ciborium::into_writer(&(mark(site.as_bytes()), p), &mut b).expect("plain data always encodes");
     let n = (b.len() - 4) as u32;
     b[..4].copy_from_slice(&n.to_le_bytes());
     b[4..6].copy_from_slice(&PROTO.to_le_bytes());
@@ -251,7 +292,14 @@
         return Err(Refused::Protocol(p));
     }
     // why: bounded depth, or a nested frame could exhaust the stack
-    let (s, p): (String, Payload) = ciborium::de::from_reader_with_recursion_limit(&b[2..], 64)
+    let (s, p): (u64, Payload) = ciborium::de::from_reader_with_recursion_limit(&b[2..], 64)
         .map_err(|_| Refused::Unreadable)?;
-    Some(p).filter(|_| s == site).ok_or(Refused::Site(s))
+    let ours = s == mark(site.as_bytes());
+    Some(p).filter(|_| ours).ok_or(Refused::Site(s))
+}
+
+/// A mark of some bytes that is the same on every node (FNV-1a).
+pub fn mark(b: &[u8]) -> u64 {
+    let step = |h: u64, b: &u8| (h ^ u64::from(*b)).wrapping_mul(0x0100_0000_01b3);
+    b.iter().fold(0xcbf2_9ce4_8422_2325, step)
 }
--- a/sorreldoor/tests/fuzz.rs
+++ b/sorreldoor/tests/fuzz.rs
@@ -89,7 +89,12 @@
     let all = vec![("id".to_string(), 7u128); 3];
     vec![
         Payload::Hello(hello),
-        Payload::Renew { no, have, doing },
+        Payload::Renew {
+            no,
+            have,
+            doing,
+            unproven: false,
+        },
         Payload::Op {
             rid: 1,
             pid: 2,
