--- a/rig/src/site/workers.rs
+++ b/rig/src/site/workers.rs
@@ -84,6 +84,7 @@
                 slots: 0,
                 cold_ms: 0,
                 leaves_ms: None,
+                version: String::new(),
             });
             self.workers.push(Wk {
                 name,
