--- a/sorreldoor/src/proxy/table/rank.rs
+++ b/sorreldoor/src/proxy/table/rank.rs
@@ -3,7 +3,7 @@
 
 use super::hash;
 use super::reqs::Req;
-use super::spot::Spot;
+use super::spot::{Spot, COLD_SPAN};
 use super::state::Table;
 use crate::agree::Ms;
 use crate::setup::hosted::{Route, Service};
@@ -101,7 +101,9 @@
             let c = self.cost(i, w, r, l, &conf, first == Some(i), noise.unit(), now);
             let cold = conf.per_s > 0.0 && w.cold(now);
             let bound = || self.nodes.part(self.cold_bound(&conf), w.hash);
-            if cold && w.sent_lately(now) >= bound() {
+            // why: a node that started anew forgot what it had sent
+            let new = now < self.born.unwrap_or(now) + COLD_SPAN;
+            if cold && (new || w.sent_lately(now) >= bound()) {
                 continue;
             }
             // why: a few behind the places keep a worker busy, more only wait
@@ -150,11 +152,14 @@
             false => (0, 0),
         };
         // why: other nodes send this prefix there too
+        let known = kept;
         let kept = if first { kept.max(l.shared) } else { kept };
-        let reading = l.tokens.saturating_sub(kept);
+        // why: a single part may well be new
+        let sure = if r.parts.len() > 1 { kept } else { known };
+        let reading = l.tokens.saturating_sub(sure);
         let cost = if conf.engine {
             let v = &self.svcs[w.service as usize];
-            let read = f64::from(reading) * v.per_token;
+            let read = f64::from(l.tokens.saturating_sub(kept)) * v.per_token;
             let anew = f64::from(l.shared.saturating_sub(kept)) * v.per_token;
             // why: whoever reads long stalls all that run beside it
             let stall = (w.reading as f64) * v.per_token + read * 0.5 * f.min(1.0);
--- a/sorreldoor/src/proxy/table/reqs.rs
+++ b/sorreldoor/src/proxy/table/reqs.rs
@@ -55,15 +55,18 @@
 }
 
 impl Req {
-    /// The part that others share deepest; the last part is the request's own.
+    /// Parts that other requests may share: all but the last, which is the
+    /// request's own or its session's; a single part may be a session's.
     pub fn shared(&self) -> &[Part] {
-        let n = self.parts.len();
-        &self.parts[..n.saturating_sub(1)]
+        match self.parts.len() {
+            n if n > 1 => &self.parts[..n - 1],
+            _ => &self.parts,
+        }
     }
 
-    /// What a prompt prefix is known by.
+    /// What a prompt prefix is known by: the part that others share deepest.
     pub fn key(&self) -> Option<u64> {
-        self.shared().last().or(self.parts.last()).map(|p| p.id)
+        self.shared().last().map(|p| p.id)
     }
 }
 
@@ -199,11 +202,8 @@
             Heard::Head { load, cold_ms } => self.head(s.spot, load, cold_ms, now),
             Heard::First => self.first(rid, now),
             Heard::Done(status) => {
-                self.first(rid, now);
+                self.done(rid, s, status, now);
                 self.close(rid, true);
-                let bad = status >= 500;
-                self.sign(s, if bad { Sign::Bad } else { Sign::Good }, now);
-                self.counts.served += u64::from(status < 400);
                 self.note(rid, true, None);
             }
             Heard::NotRun(load) => {
--- a/sorreldoor/src/proxy/table/signs.rs
+++ b/sorreldoor/src/proxy/table/signs.rs
@@ -11,6 +11,8 @@
 /// Prompts of more tokens tell the time to read a token, those of fewer the rest.
 const LONG: u32 = 2000;
 const SHORT: u32 = 500;
+/// Over what is usual in a service, at most.
+const SLOWEST: f64 = 4.0;
 
 fn blend(old: &mut f64, new: f64) {
     *old += NEW * (new - *old);
@@ -53,7 +55,7 @@
         let v = &mut self.svcs[w.service as usize];
         let took = now.saturating_sub(s.at) as f64;
         let usual = (v.first_ms + f64::from(s.reading) * v.per_token).max(1.0);
-        blend(&mut w.slow, (took / usual).clamp(0.25, 4.0));
+        blend(&mut w.slow, (took / usual).clamp(0.25, SLOWEST));
         if s.reading > LONG {
             let each = (took - v.first_ms).max(0.0) / f64::from(s.reading);
             blend(&mut v.per_token, each.clamp(0.001, 0.5));
@@ -63,6 +65,24 @@
         }
     }
 
+    /// The whole answer is there, with the worker's own status.
+    pub(super) fn done(&mut self, rid: Rid, s: Sending, status: u16, now: Ms) {
+        if status < 400 {
+            self.first(rid, now);
+            self.counts.served += 1;
+        }
+        match status {
+            // why: a deadline may have been too short; it tells of speed alone
+            504 => {
+                if let Some(w) = &mut self.spots[s.spot as usize] {
+                    blend(&mut w.slow, SLOWEST);
+                }
+            }
+            500.. => self.sign(s, Sign::Bad, now),
+            _ => self.sign(s, Sign::Good, now),
+        }
+    }
+
     /// A sign of a worker's health.
     pub(super) fn sign(&mut self, s: Sending, g: Sign, now: Ms) {
         let may = g != Sign::Bad || self.may_eject(s.spot);
--- a/sorreldoor/src/proxy/table/state.rs
+++ b/sorreldoor/src/proxy/table/state.rs
@@ -60,6 +60,8 @@
     pub(super) bounds: Bounds,
     pub(super) draw: Draw,
     pub(super) now: Ms,
+    /// When it was first used.
+    pub(super) born: Option<Ms>,
     pub(super) hosted: Option<Arc<Hosted>>,
     /// Counts configurations taken.
     pub(super) edition: u32,
@@ -87,6 +89,7 @@
             place,
             bounds,
             now: 0,
+            born: None,
             hosted: None,
             edition: 0,
             emptied: Vec::new(),
@@ -106,6 +109,7 @@
 
     pub(super) fn tick(&mut self, now: Ms) {
         self.now = self.now.max(now);
+        self.born.get_or_insert(now);
     }
 
     fn svc(&mut self, name: &str, now: Ms) -> u32 {
@@ -117,7 +121,8 @@
             hash: hash::name(name),
             conf: None,
             spots: Vec::new(),
-            budget: Budget::new(now),
+            // why: only a node that starts anew may have forgotten what it spent
+            budget: Budget::new(self.born.unwrap_or(now)),
             per_token: 0.02,
             first_ms: 50.0,
         });
@@ -179,7 +184,8 @@
         }
     }
 
-    /// The names and zones of the ready nodes.
+    /// The names and zones of the ready nodes; to be called once the list is
+    /// thought whole: until then this node counts on no part of a common bound.
     pub fn take_nodes(&mut self, all: Vec<(String, u16)>) {
         self.nodes.take(&all, self.now);
     }
@@ -213,6 +219,9 @@
                 false => w.cold_ms,
             };
             if cold > 0 {
+                if !s.cold(now) {
+                    s.kept.clear();
+                }
                 s.cold_until = s.cold_until.max(now + cold + MARGIN);
             }
         }
