--- a/sorreldoor/tests/table.rs
+++ b/sorreldoor/tests/table.rs
@@ -9,6 +9,8 @@
 
 #[path = "table/drive.rs"]
 mod drive;
+#[path = "table/fuzz.rs"]
+mod fuzz;
 #[path = "table/nodes.rs"]
 mod nodes;
 
--- a/sorreldoor/tests/table/drive.rs
+++ b/sorreldoor/tests/table/drive.rs
@@ -59,6 +59,7 @@
     Wake(usize),
     Break(usize, Rid, u32),
     Again(usize, Rid),
+    Free(u32),
     Roster,
 }
 
@@ -191,11 +192,40 @@
                 }
                 Ev::Again(n, r) if self.waiting.contains(&(n, r)) => self.pick(n, r),
                 Ev::Again(..) => {}
+                Ev::Free(w) => self.leave(w),
                 Ev::Roster => roster_at(self),
             }
         }
     }
 
+    /// The node starts anew: it forgets all, and its requests are lost.
+    pub fn restart(&mut self, n: usize, h: Arc<Hosted>) {
+        let t = self.clock(n);
+        let zone = (n % 3) as u16;
+        let mut x = Table::new(place(&format!("n{n}"), zone), bounds(), t);
+        x.take_hosted(h, t);
+        let all = 0..self.nodes.len();
+        x.take_nodes(all.map(|i| (format!("n{i}"), (i % 3) as u16)).collect());
+        x.take_roster(&roster(1, self.list.clone()), t);
+        self.nodes[n] = x;
+        self.open.retain(|k, _| k.0 != n);
+        self.waiting.retain(|k| k.0 != n);
+        self.backs
+            .iter_mut()
+            .for_each(|b| b.queue.retain(|q| q.0 != n));
+        let evs = std::mem::take(&mut self.evs).into_iter();
+        self.evs = evs
+            .filter_map(|Reverse((at, seq, e))| {
+                let e = match e {
+                    Ev::Reach(i, ..) | Ev::Head(i, ..) | Ev::Again(i, _) if i == n => return None,
+                    Ev::End(i, _, w) | Ev::Break(i, _, w) if i == n => Ev::Free(w),
+                    e => e,
+                };
+                Some(Reverse((at, seq, e)))
+            })
+            .collect();
+    }
+
     pub fn clock(&self, n: usize) -> u64 {
         self.now + self.skew[n]
     }
--- a/sorreldoor/tests/table/nodes.rs
+++ b/sorreldoor/tests/table/nodes.rs
@@ -237,3 +237,36 @@
     t.take_nodes(vec![("n0".into(), 0)]);
     assert!((1..=4).contains(&sends(&mut t, 3000)));
 }
+
+#[test]
+fn restarts_of_many_nodes_break_neither_bound() {
+    for (n, seed) in [(12, 21), (12, 22), (93, 23)] {
+        let mut l = workers();
+        l[0].cold_ms = 60_000;
+        l[1].cold_ms = 60_000;
+        let mut d = Drive::new(n, seed, usual(), l);
+        let mut busy = model_flow(1500.0);
+        busy.to = 32_000;
+        d.flows = vec![busy];
+        for w in 0..18 {
+            d.backs[w].broke = 0.2;
+            d.backs[w].away = 0.3;
+        }
+        // why: half the nodes at once, and again before the window is over
+        for at in [20_000, 20_900, 24_000, 27_000] {
+            d.put(at, Ev::Roster);
+        }
+        d.run(32_000, |d| {
+            for i in 0..d.nodes.len() {
+                if d.rand.chance(0.55) {
+                    d.restart(i, usual());
+                }
+            }
+        });
+        let cold = [0, 1].map(|w: usize| most_in(&d.backs[w].came, 1000));
+        let left = room(&d.asked, &d.further, &bounds());
+        println!("{n} nodes, restarts: cold {cold:?} of 51.5, least room {left:.1}");
+        assert!(cold.iter().all(|c| *c <= 51), "{cold:?}");
+        assert!(left >= 0.0, "{left}");
+    }
+}
