--- a/sorreldoor/src/proxy/table/kept.rs
+++ b/sorreldoor/src/proxy/table/kept.rs
@@ -29,9 +29,8 @@
     pub fn take(&mut self, parts: &[Part], room: u64) {
         self.clock += 1;
         for p in parts {
-            match self.parts.insert(p.id, (p.tokens, self.clock)) {
-                Some((t, _)) => self.tokens -= u64::from(t),
-                None => {}
+            if let Some((t, _)) = self.parts.insert(p.id, (p.tokens, self.clock)) {
+                self.tokens -= u64::from(t);
             }
             self.tokens += u64::from(p.tokens);
         }
--- a/sorreldoor/tests/table/fuzz.rs
+++ b/sorreldoor/tests/table/fuzz.rs
@@ -1,6 +1,6 @@
 //! Any order of calls: the rules hold, nothing is left over.
 
-use super::drive::Rand;
+use super::marks::Rand;
 use super::*;
 use std::collections::BTreeMap;
 
--- a/sorreldoor/tests/table/nodes.rs
+++ b/sorreldoor/tests/table/nodes.rs
@@ -1,6 +1,7 @@
 //! What must hold over all nodes together.
 
 use super::drive::*;
+use super::marks::*;
 use super::*;
 
 fn model_flow(per_s: f64) -> Flow {
--- /dev/null
+++ b/sorreldoor/tests/table/rules.rs
@@ -0,0 +1,284 @@
+//! What may be sent where, how often, and when it is told to come back.
+
+use super::*;
+
+#[test]
+fn no_setup_and_no_route() {
+    let mut t = Table::new(place("n0", 0), bounds(), 7);
+    assert_eq!(
+        t.begin("h", "/web/x", ask(&[]), 0, 0),
+        Err(Problem::NoSetup)
+    );
+    t.take_hosted(usual(), 0);
+    assert_eq!(
+        t.begin("h", "/no/x", ask(&[]), 0, 0),
+        Err(Problem::UnknownRoute)
+    );
+    assert_eq!(
+        t.begin("g", "/web/x", ask(&[]), 0, 0),
+        Err(Problem::UnknownRoute)
+    );
+}
+
+#[test]
+fn what_may_have_run_is_not_sent_again() {
+    let mut t = table(usual(), many("web", 6, &[0, 1, 2]));
+    let (r, _) = sent(&mut t, "/webonce/x", 100);
+    t.heard(r, Heard::Broke, 120);
+    assert_eq!(t.pick(r, 120), Pick::Refuse(Problem::OutcomeUnknown, 0));
+}
+
+#[test]
+fn what_did_not_run_goes_on_within_attempts() {
+    for (h, again) in [
+        (Heard::NotRun(None), true),
+        (Heard::Misdirected, true),
+        (Heard::NoConn, true),
+        (Heard::Broke, false),
+        (Heard::Left, false),
+        (Heard::Done(500), false),
+    ] {
+        let mut t = table(usual(), many("web", 6, &[0, 1, 2]));
+        let (r, a) = sent(&mut t, "/webonce/x", 20_000);
+        t.heard(r, h.clone(), 20_010);
+        match t.pick(r, 20_010) {
+            Pick::Go(b) => assert!(again && a.name != b.name, "{h:?}"),
+            p => assert!(!again, "{h:?}: {p:?}"),
+        }
+        if !again {
+            continue;
+        }
+        t.heard(r, h.clone(), 20_020);
+        // why: no connection means not sent, so a third worker is no third sending
+        let third = matches!(t.pick(r, 20_020), Pick::Go(_));
+        assert_eq!(third, h == Heard::NoConn, "{h:?}");
+    }
+}
+
+#[test]
+fn a_repeatable_one_goes_on_after_a_break_and_ends_unpromised() {
+    let mut t = table(usual(), many("web", 6, &[0, 1, 2]));
+    let (r, a) = sent(&mut t, "/web/x", 20_000);
+    t.heard(r, Heard::Broke, 20_010);
+    let b = go(t.pick(r, 20_010));
+    assert_ne!(a.name, b.name);
+    t.heard(r, Heard::NotRun(None), 20_020);
+    let p = t.pick(r, 20_020);
+    assert!(matches!(p, Pick::Refuse(Problem::WorkerBroke, _)), "{p:?}");
+}
+
+#[test]
+fn a_route_that_turns_repeatable_does_not_free_what_was_sent_once() {
+    let mut t = table(usual(), many("web", 6, &[0, 1, 2]));
+    let (r, _) = sent(&mut t, "/webonce/x", 20_000);
+    t.take_hosted(
+        hosted(vec![route("x", "/webonce/", Kind::Idempotent, 1)]),
+        20_005,
+    );
+    t.heard(r, Heard::Broke, 20_010);
+    assert_eq!(t.pick(r, 20_010), Pick::Refuse(Problem::OutcomeUnknown, 0));
+}
+
+#[test]
+fn the_configuration_in_force_decides_at_each_pick() {
+    let both = |s| hosted(vec![route("w", "/w/", Kind::Once, s)]);
+    let mut all = many("web", 6, &[0, 1]);
+    all.extend(many("model", 48, &[0, 1]));
+    let mut t = table(both(1), all);
+    let (a, b) = (begin(&mut t, "/w/x", 20_010), begin(&mut t, "/w/x", 20_010));
+    let first = go(t.pick(a, 20_010));
+    assert!(first.name.starts_with("web") && first.priority.is_none());
+    t.take_hosted(both(0), 20_011);
+    let second = go(t.pick(b, 20_011));
+    assert!(second.name.starts_with("model") && second.priority == Some(1));
+    // why: a refused sending is looked up anew as well
+    t.heard(a, Heard::NotRun(None), 20_012);
+    assert!(go(t.pick(a, 20_012)).name.starts_with("model"));
+    let c = begin(&mut t, "/w/x", 20_012);
+    t.take_hosted(hosted(vec![route("v", "/v/", Kind::Once, 1)]), 20_013);
+    assert_eq!(t.pick(c, 20_013), Pick::Refuse(Problem::UnknownRoute, 0));
+    assert!(t.route(c).is_none());
+}
+
+#[test]
+fn the_longest_prefix_wins() {
+    let h = hosted(vec![
+        route("a", "/", Kind::Once, 1),
+        route("b", "/a/", Kind::Once, 1),
+        route("c", "/a/b/", Kind::Once, 1),
+    ]);
+    let mut t = table(h, many("web", 6, &[0]));
+    for (path, name) in [("/x", "a"), ("/a/x", "b"), ("/a/b/x", "c"), ("/a/bx", "b")] {
+        let r = begin(&mut t, path, 0);
+        assert_eq!(t.route(r).unwrap().name, name);
+    }
+}
+
+#[test]
+fn only_open_workers_in_allowed_places() {
+    let leaving = |mut w: Worker| {
+        w.leaving = true;
+        w
+    };
+    let going = |mut w: Worker| {
+        w.leaves_ms = Some(900);
+        w
+    };
+    let w = |n: &str, z| worker(n, "web", z, 6);
+    let mut home = route("home", "/home/", Kind::Idempotent, 1);
+    home.homes = vec![1];
+    let h = hosted(vec![home, route("web", "/web/", Kind::Idempotent, 1)]);
+    let cases: Vec<(&str, Vec<Worker>, Vec<u16>, Option<&str>)> = vec![
+        (
+            "/web/",
+            vec![leaving(w("a", 0)), w("b", 0)],
+            vec![],
+            Some("b"),
+        ),
+        (
+            "/web/",
+            vec![going(w("a", 0)), w("b", 0)],
+            vec![],
+            Some("b"),
+        ),
+        ("/web/", vec![w("a", 0), w("b", 1)], vec![0], Some("b")),
+        ("/web/", vec![w("a", 0), w("b", 2)], vec![0], Some("b")),
+        ("/web/", vec![w("a", 0)], vec![0], None),
+        ("/web/", vec![w("a", 2), w("b", 1)], vec![], Some("b")),
+        ("/home/", vec![w("a", 0), w("b", 2)], vec![], Some("b")),
+        ("/home/", vec![w("a", 0), w("b", 1)], vec![], None),
+        ("/web/", vec![worker("a", "model", 0, 6)], vec![], None),
+        ("/web/", vec![], vec![], None),
+    ];
+    for (path, ws, emptied, want) in cases {
+        let mut t = table(h.clone(), ws.clone());
+        t.take_emptied(emptied.clone(), 0);
+        for i in 0..20 {
+            let r = begin(&mut t, path, i);
+            let got = match t.pick(r, i) {
+                Pick::Go(g) => Some(g.name),
+                _ => None,
+            };
+            assert_eq!(got.as_deref(), want, "{path} {ws:?} {emptied:?}");
+            t.end(r, i);
+        }
+    }
+}
+
+#[test]
+fn what_is_off_the_list_or_misdirected_gets_nothing() {
+    let mut t = table(usual(), many("web", 6, &[0, 1]));
+    let (r, a) = sent(&mut t, "/web/x", 10);
+    t.heard(r, Heard::Misdirected, 11);
+    t.end(r, 11);
+    let names = |t: &mut Table, now: u64| -> Vec<String> {
+        let one = |_| {
+            let (r, g) = sent(t, "/web/x", now);
+            t.end(r, now);
+            g.name
+        };
+        let mut v: Vec<String> = (0..12).map(one).collect();
+        v.sort();
+        v.dedup();
+        v
+    };
+    assert!(!names(&mut t, 12).contains(&a.name));
+    t.take_roster(&roster(1, many("web", 6, &[0, 1])), 13);
+    assert!(!names(&mut t, 14).contains(&a.name));
+    t.take_roster(&roster(2, many("web", 6, &[0, 1])), 4000);
+    assert!(names(&mut t, 4001).contains(&a.name));
+    t.take_roster(&roster(3, vec![worker("new", "web", 0, 6)]), 5000);
+    assert_eq!(names(&mut t, 5001), ["new"]);
+    // why: an older list that comes late changes nothing
+    t.take_roster(&roster(2, many("web", 6, &[0, 1])), 5002);
+    assert_eq!(names(&mut t, 5003), ["new"]);
+}
+
+#[test]
+fn deadlines_and_times_to_come_back() {
+    let mut t = table(usual(), vec![]);
+    let r = t.begin("h", "/web/x", ask(&[]), 1000, 1010).unwrap();
+    assert_eq!(t.deadline(r), 6000);
+    let mut a = ask(&[]);
+    a.deadline_ms = None;
+    let n = t.begin("h", "/web/x", a, 1000, 1010).unwrap();
+    assert_eq!(t.deadline(n), 9000);
+    assert!(matches!(t.pick(r, 1010), Pick::Wait(w) if w > 0));
+    // why: within a quarter of the aim it is told to come back
+    let at = 1200;
+    match t.pick(r, at) {
+        Pick::Refuse(Problem::NoWorker, ms) => assert!((100..=400).contains(&ms)),
+        p => panic!("{p:?}"),
+    }
+    match t.pick(r, 5700) {
+        Pick::Refuse(Problem::NoWorker, ms) => assert!(ms <= 100),
+        p => panic!("{p:?}"),
+    }
+    let p = t.pick(r, 5998);
+    assert!(matches!(p, Pick::Refuse(Problem::GivenUp, _)), "{p:?}");
+}
+
+#[test]
+fn the_first_in_priority_then_arrival_gets_the_free_place() {
+    let mut low = route("low", "/low/", Kind::Once, 1);
+    low.priority = 3;
+    let mut t = table(
+        hosted(vec![low, route("high", "/high/", Kind::Once, 1)]),
+        vec![worker("w", "web", 0, 2)],
+    );
+    let held: Vec<Rid> = (0..3).map(|_| sent(&mut t, "/high/x", 0).0).collect();
+    let late = |t: &mut Table, path: &str, now| {
+        let r = begin(t, path, now);
+        assert!(matches!(t.pick(r, now), Pick::Wait(_)));
+        r
+    };
+    let l = late(&mut t, "/low/x", 1);
+    let h2 = late(&mut t, "/high/x", 3);
+    let h1 = late(&mut t, "/high/x", 2);
+    assert!(t.woken(4).is_empty());
+    t.heard(held[0], Heard::Done(200), 5);
+    assert_eq!(t.woken(5), [h1]);
+    // why: one that comes now stands behind those that wait already
+    let h3 = late(&mut t, "/high/x", 5);
+    go(t.pick(h1, 5));
+    assert!(matches!(t.pick(h2, 6), Pick::Wait(_)));
+    assert_eq!(t.woken(60), [h2, h3, l]);
+    t.end(h2, 61);
+    t.heard(held[1], Heard::Done(200), 61);
+    assert_eq!(t.woken(61), [h3]);
+    assert_eq!(t.counts().waiting, 2);
+}
+
+#[test]
+fn no_refusal_while_half_the_places_are_free() {
+    // why: a worker that turns requests away though it has room is tried again
+    let mut t = table(usual(), many("web", 8, &[0, 0]));
+    let mut draw = 5u64;
+    let mut open: Vec<Rid> = Vec::new();
+    let mut refused = 0;
+    for now in (0..60_000).step_by(3) {
+        draw = draw.wrapping_mul(6364136223846793005).wrapping_add(99);
+        let x = draw >> 33;
+        if x % 3 == 0 && !open.is_empty() {
+            let r = open.swap_remove((x / 3) as usize % open.len());
+            t.heard(r, Heard::Done(200), now);
+            t.end(r, now);
+        }
+        if x % 5 < if now % 8000 < 4000 { 3 } else { 1 } {
+            let r = t
+                .begin("h", "/webonce/x", ask(&[]), now - now.min(300), now)
+                .unwrap();
+            match t.pick(r, now) {
+                Pick::Go(_) => open.push(r),
+                Pick::Refuse(p, _) => {
+                    assert_eq!(p, Problem::NoWorker);
+                    assert!(open.len() * 2 >= 16, "{} of 16 taken", open.len());
+                    refused += 1;
+                    t.end(r, now);
+                }
+                p => panic!("{p:?}"),
+            }
+        }
+    }
+    assert!(refused > 0);
+}
