--- a/sorreldoor/tests/table.rs
+++ b/sorreldoor/tests/table.rs
@@ -7,6 +7,19 @@
 use sorreldoor::setup::hosted::{Engine, Hosted, Kind, Route, Service};
 use std::sync::Arc;
 
+#[path = "table/drive.rs"]
+mod drive;
+#[path = "table/fuzz.rs"]
+mod fuzz;
+#[path = "table/marks.rs"]
+mod marks;
+#[path = "table/nodes.rs"]
+mod nodes;
+#[path = "table/rules.rs"]
+mod rules;
+#[path = "table/spots.rs"]
+mod spots;
+
 /// Two regions: zones 0 and 1 in the first, 2 in the second.
 const REGIONS: [u8; 3] = [0, 0, 1];
 
@@ -147,29 +160,3 @@
     let g = go(t.pick(r, now));
     (r, g)
 }
-
-#[test]
-fn no_setup_and_no_route() {
-    let mut t = Table::new(place("n0", 0), bounds(), 7);
-    assert_eq!(
-        t.begin("h", "/web/x", ask(&[]), 0, 0),
-        Err(Problem::NoSetup)
-    );
-    t.take_hosted(usual(), 0);
-    assert_eq!(
-        t.begin("h", "/no/x", ask(&[]), 0, 0),
-        Err(Problem::UnknownRoute)
-    );
-    assert_eq!(
-        t.begin("g", "/web/x", ask(&[]), 0, 0),
-        Err(Problem::UnknownRoute)
-    );
-}
-
-#[test]
-fn what_may_have_run_is_not_sent_again() {
-    let mut t = table(usual(), many("web", 6, &[0, 1, 2]));
-    let (r, _) = sent(&mut t, "/webonce/x", 100);
-    t.heard(r, Heard::Broke, 120);
-    assert_eq!(t.pick(r, 120), Pick::Refuse(Problem::OutcomeUnknown, 0));
-}
