--- a/rig/tests/site/growth.rs
+++ b/rig/tests/site/growth.rs
@@ -81,6 +81,7 @@
         w.crash(all[(seed % 6) as usize]);
         w.crash(all[((seed + 3) % 6) as usize]);
         assert!(put(&mut w, 1), "seed {seed}");
+        w.run_for(4000);
         sound(&w, seed);
     }
 }
@@ -100,11 +101,13 @@
         w.start(c);
         let from = w.now;
         let back = w.run_until(from + 5000, whole);
+        if !back { for s in w.says.iter().filter(|s| s.0 + 500 > from) { println!("{s:?}"); } }
         assert!(back, "seed {seed}: {:?} of {:?}", voters(&w), ids(&w));
         assert!(!voters(&w).contains(&was));
         println!("seed {seed}: seat back after {} ms", w.now - from);
         assert!(put(&mut w, 1), "seed {seed}");
         w.run_for(2000);
+        w.run_for(4000);
         sound(&w, seed);
     }
 }
@@ -121,6 +124,7 @@
         let from = w.now;
         assert!(w.run_until(from + 5000, whole), "seed {seed}");
         w.run_for(3000);
+        w.run_for(4000);
         sound(&w, seed);
     }
 }
@@ -141,6 +145,7 @@
         assert!(done, "seed {seed}: {:?} of {:?}", voters(&w), ids(&w));
         println!("seed {seed}: replaced after {} ms", w.now - from);
         assert!(put(&mut w, 1), "seed {seed}");
+        w.run_for(4000);
         sound(&w, seed);
     }
 }
@@ -158,6 +163,7 @@
         let end = w.now + 10_000;
         assert!(w.run_until(end, whole), "seed {seed}: {:?}", voters(&w));
         assert!(put(&mut w, 0));
+        w.run_for(4000);
         sound(&w, seed);
     }
 }
@@ -226,8 +232,10 @@
         }
         let end = w.now + 12_000;
         let done = w.run_until(end, whole);
+        if !done { for s in w.says.iter() { println!("{s:?}"); } for c in w.cores() { if let Some(a) = w.hub(c).and_then(|h| h.agree.as_ref()) { println!("{} {:x} gl {:?} term {} dl {} last {:?} ms {:?}", w.procs[c].name, w.procs[c].id, a.global_leader(), a.term(), a.leads_domain(), a.log().last(), a.members().iter().map(|m| format!("{:x}{}", m.id, m.voter)).collect::<Vec<_>>()); } } }
         assert!(done, "seed {seed}: {:?} of {:?}", voters(&w), ids(&w));
         assert!(base > 1, "seed {seed}");
+        w.run_for(4000);
         sound(&w, seed);
     }
 }
@@ -244,6 +252,7 @@
         w.heal();
         w.run_for(30_000);
         assert!(w.leader().is_some(), "seed {seed}");
+        w.run_for(4000);
         sound(&w, seed);
     }
 }
--- a/rig/tests/site/thrift.rs
+++ b/rig/tests/site/thrift.rs
@@ -117,6 +117,8 @@
         w.run_for(5000);
         assert!(w.polls > polls + 2, "seed {seed}: someone reads on");
         let all = w.edges();
+        for e in &all { println!("{:x} {:x}", serial(&w, *e), second); }
+        for s in w.says.iter().filter(|s| format!("{:?}", s.2).contains("Roster") || format!("{:?}", s.2).contains("Duty")) { println!("{s:?}"); }
         let newer = all.iter().all(|e| serial(&w, *e) > second);
         assert!(newer, "seed {seed}: a new holder's list is newer");
         sound(&w, seed);
--- a/sorreldoor/src/core/duty.rs
+++ b/sorreldoor/src/core/duty.rs
@@ -97,9 +97,8 @@
     /// Whether this life of this core holds the duty: what it numbers under
     /// an epoch must not begin anew within it.
     pub fn on_duty(&self) -> bool {
-        let took = |epoch: u64| self.took_above.is_some_and(|above| epoch > above);
         let r = self.agree.as_ref().map(|a| a.machine());
-        r.is_some_and(|r| r.holder() == self.me.id && took(r.epoch()))
+        r.is_some_and(|r| r.holder() == self.me.id && self.took == Some(r.epoch()))
     }
 
     fn tunable(&self) -> bool {
@@ -136,9 +135,20 @@
     fn take_duty(&mut self) {
         let above = self.agree.as_ref().map_or(0, |a| a.machine().epoch());
         let holder = self.me.id;
-        self.took_above = Some(above);
         self.say(Ev::DutyTaken, format!("epoch {}", above + 1));
         self.propose(Cmd::Duty { holder, above });
+        self.asked_epoch = self.duty_pid.map(|pid| (pid, above + 1));
+    }
+
+    /// A proposal of this core's own has come to something.
+    pub(super) fn proposed(&mut self, pid: Pid, taken: bool) {
+        if self.duty_pid == Some(pid) {
+            self.duty_pid = None;
+        }
+        // why: after a restart the log may still show the duty as this core's
+        // before it has caught up with what came after
+        let asked = self.asked_epoch.filter(|(p, _)| taken && *p == pid);
+        self.took = asked.map(|(_, epoch)| epoch).or(self.took);
     }
 
     pub(super) fn propose(&mut self, cmd: Cmd) {
--- a/sorreldoor/src/core/found.rs
+++ b/sorreldoor/src/core/found.rs
@@ -10,6 +10,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
+/// Between questions to founded cores.
+const ASK_MS: Ms = 250;
 /// A site that grows gives up a core silent for so many times `replace_ms`.
 const LONG: Ms = 10;
 
@@ -47,9 +49,11 @@
     /// A blank core: found with the others, or join what is founded.
     pub(super) fn founding_alarm(&mut self) {
         let live = self.live_cores(1500);
-        if let Some((_, (c, _))) = live.iter().find(|(_, (_, h))| h.founded) {
-            // why: whether this core was promised a seat is the founders' to say
-            let c = *c;
+        let told: Vec<Conn> = live.values().filter(|(_, h)| h.founded).map(|l| l.0).collect();
+        if !told.is_empty() {
+            // why: whether this core was promised a seat is the founders' to say,
+            // and one of them may not answer, so each time another is asked
+            let c = told[(self.now / ASK_MS) as usize % told.len()];
             let set = self.promise.clone().unwrap_or_default();
             return self.send(c, Payload::Founding(Founding::Promise { set }));
         }
@@ -110,7 +114,7 @@
         self.agreed(Event::Alarm);
     }
 
-    fn greet(&mut self) {
+    pub(super) fn greet(&mut self) {
         self.me.founded = true;
         let conns: Vec<Conn> = self.lines.keys().copied().collect();
         for c in conns {
@@ -127,6 +131,10 @@
                     self.promises.insert(from.id, set);
                     return;
                 };
+                // why: one that has only just joined does not know who founded
+                if a.members().is_empty() {
+                    return;
+                }
                 // why: only a blank core that is in the founding set by its own
                 // identity may take its seat; any other joins as a non-voter
                 let seat = a.members().iter().any(|m| m.id == from.id && m.voter);
@@ -148,9 +156,9 @@
                 let r = Record::new(self.site.clone());
                 let (pace, seed, now) = (self.pace.clone(), self.seed, self.now);
                 self.agree = Some(Agree::new(self.me.id, pace, k, r, seed, now));
-                self.greet();
-                // why: not founded by itself; its seat comes with the log
-                self.me.founded = false;
+                // why: it does not say that it is of the site before the log
+                // has told it who is
+                self.redial();
             }
         }
     }
--- a/sorreldoor/src/core/hub.rs
+++ b/sorreldoor/src/core/hub.rs
@@ -54,8 +54,9 @@
     pub(super) first_since: Option<Ms>,
     pub(super) duty_at: Ms,
     pub(super) duty_pid: Option<Pid>,
-    /// The epoch above which this life has asked for the duty.
-    pub(super) took_above: Option<u64>,
+    /// The epoch that this life has asked for, and the one that it was given.
+    pub(super) asked_epoch: Option<(Pid, u64)>,
+    pub(super) took: Option<u64>,
     pub(super) tune_at: Ms,
     pub(super) recovery: BTreeMap<u8, super::regions::Watch>,
     pub(super) claims: super::claims::Claims,
@@ -270,6 +271,9 @@
                     .map(|m| format!("{:x}{}", m.id, if m.voter { "" } else { "?" }))
                     .collect();
                 self.say(Ev::Members, names.join(" "));
+                if !self.me.founded && ms.iter().any(|m| m.voter) {
+                    self.greet();
+                }
                 self.redial();
             }
             Effect::Note(n) => self.on_note(n),
@@ -315,9 +319,8 @@
             Err(Lost::Unknown) => OpOutcome::Unknown,
             Err(Lost::Full) => OpOutcome::NotTaken,
         };
-        if self.duty_pid == Some(pid) {
-            self.duty_pid = None;
-        }
+        let taken = matches!(outcome, OpOutcome::Got(Outcome::Taken { .. }));
+        self.proposed(pid, taken);
         let asked = self.ops.remove(&pid).unwrap_or_default();
         if !asked.is_empty() {
             let id = crate::ops::pid_text(pid);
