--- a/sorreldoor/src/core/found.rs
+++ b/sorreldoor/src/core/found.rs
@@ -49,7 +49,11 @@
     /// A blank core: found with the others, or join what is founded.
     pub(super) fn founding_alarm(&mut self) {
         let live = self.live_cores(1500);
-        let told: Vec<Conn> = live.values().filter(|(_, h)| h.founded).map(|l| l.0).collect();
+        let told: Vec<Conn> = live
+            .values()
+            .filter(|(_, h)| h.founded)
+            .map(|l| l.0)
+            .collect();
         if !told.is_empty() {
             // why: whether this core was promised a seat is the founders' to say,
             // and one of them may not answer, so each time another is asked
@@ -246,7 +250,10 @@
             let lost = ms.iter().filter(near).any(|m| self.gone(m));
             // why: one that is silent may be just what the newcomer replaces,
             // and its seat is then not needed beside the newcomer's
-            let quiet = ms.iter().filter(near).any(|m| self.silent(m, self.pace.dead));
+            let quiet = ms
+                .iter()
+                .filter(near)
+                .any(|m| self.silent(m, self.pace.dead));
             let free = if self.grow {
                 !quiet
             } else {
@@ -273,7 +280,9 @@
             let a = self.agree.as_ref();
             let waits = |l: &Member| !l.voter && l.zone == m.zone;
             let heir = ms.iter().filter(|l| waits(l));
-            let heir = heir.map(|l| l.id).any(|l| a.is_some_and(|a| a.caught_up(l)));
+            let heir = heir
+                .map(|l| l.id)
+                .any(|l| a.is_some_and(|a| a.caught_up(l)));
             // why: one that is gone for long only makes majorities harder to
             // reach; it joins again if it does come back
             let long = voters > self.cores && self.silent(m, self.replace_ms * LONG);
--- a/sorreldoor/src/proxy/carry.rs
+++ b/sorreldoor/src/proxy/carry.rs
@@ -228,7 +228,10 @@
             return ended(s, c, flow, h).await;
         }
     };
-    let mut told = Told::default();
+    let mut told = Told {
+        misdirected: head.status == 421,
+        ..Told::default()
+    };
     for (n, v) in head.iter() {
         s.sh.dialect.tell(head.status, n, v, &mut told);
     }
--- a/sorreldoor/src/proxy/front.rs
+++ b/sorreldoor/src/proxy/front.rs
@@ -5,7 +5,7 @@
 use crate::agree::Ms;
 use crate::events::Ev;
 use crate::net::{Conn, NetEvent};
-use crate::pull::{Pull, PullFx};
+use crate::pull::{Granted, Pull, PullFx};
 use crate::record::View;
 use crate::seam::{Now, Reducer};
 use crate::setup::{self, Site};
@@ -110,7 +110,7 @@
         match f {
             PullFx::Dial(a) => self.out.push(FrontFx::Dial(a)),
             PullFx::Undial(a) => self.out.push(FrontFx::Undial(a)),
-            PullFx::Renew { conn, no } => {
+            PullFx::Renew { conn, no, unproven } => {
                 let have = self.pull.have.clone();
                 let doing = Doing {
                     serial: self.view.serial,
@@ -118,7 +118,12 @@
                     running: self.running,
                     ..Doing::default()
                 };
-                let p = Payload::Renew { no, have, doing };
+                let p = Payload::Renew {
+                    no,
+                    have,
+                    doing,
+                    unproven,
+                };
                 self.out.push(FrontFx::Send(conn, p));
             }
             PullFx::Lost => self.say(Ev::SessionLost, "silent"),
@@ -140,9 +145,13 @@
             }
             NetEvent::Down { conn } => self.pull.down(conn),
             NetEvent::Frame { conn, payload } => match *payload {
-                // why: news from a core that could not prove itself may be old
-                Payload::Grant { no, ok, news } if self.pull.granted(no, ok, self.now) => {
-                    self.take_news(news);
+                Payload::Grant { no, ok, news } => {
+                    // why: news from a core that could not prove itself may be
+                    // old, and is taken only by a node that has none at all
+                    let some = news.record.as_ref().is_some_and(|r| r.doc.is_some());
+                    if self.pull.granted(no, ok, some, self.now) != Granted::No {
+                        self.take_news(news);
+                    }
                 }
                 Payload::Ping { .. } => {
                     let p = Payload::Ping { no: 0 };
@@ -164,12 +173,15 @@
         }
         if let Some(s) = n.seats {
             self.pull.have.seats = s.0;
-            self.take_seats(s.1);
+            self.take_places(s.1);
+        }
+        if let Some((at, cores)) = n.cores {
+            self.pull.have.cores = at;
+            let region = self.me.region;
+            let near = |(a, r): &(String, u8)| a.parse().ok().map(|a| (a, *r == region));
+            self.pull
+                .take_cores(cores.iter().filter_map(near).collect());
         }
-        let region = self.me.region;
-        let near = |(a, r): &(String, u8)| a.parse().ok().map(|a| (a, *r == region));
-        self.pull
-            .take_cores(n.cores.iter().filter_map(near).collect());
     }
 
     fn take_view(&mut self, v: View) {
@@ -195,20 +207,15 @@
         };
     }
 
-    fn take_seats(&mut self, all: Vec<Seat>) {
-        let of = |s: &Seat| Seen {
-            node: s.hello.node.clone(),
-            addr: s.hello.http.clone(),
-            zone: s.hello.zone,
-            region: s.hello.region,
+    fn take_places(&mut self, all: Vec<Place>) {
+        let of = |p: &Place| Seen {
+            node: p.node.clone(),
+            addr: p.http.clone(),
+            zone: p.zone,
+            region: p.region,
         };
-        self.nodes = all
-            .iter()
-            .filter(|s| s.permit && !s.hello.core)
-            .map(of)
-            .collect();
+        self.nodes = all.iter().filter(|p| p.ready).map(of).collect();
         let names = self.nodes.iter().map(|s| (s.node.clone(), s.zone));
-        let names = names.collect();
-        self.table.take_nodes(names);
+        self.table.take_nodes(names.collect());
     }
 }
--- a/sorreldoor/src/proxy/run.rs
+++ b/sorreldoor/src/proxy/run.rs
@@ -78,7 +78,9 @@
         regions: set.names.zones.iter().map(|(_, r)| *r).collect(),
     };
     let table = Table::new(place, start.bounds, crate::ops::fresh());
-    let pull = Pull::new(&set.seeds, set.permit_ms, now.mono, now.wall).named(&set.node);
+    let pull = Pull::new(&set.seeds, set.permit_ms, now.mono, now.wall)
+        .named(&set.node)
+        .thrifty(&set.thrift);
     let front = Front::new(me, set.names.clone(), pull, table);
     let sh = Arc::new(Shared::new(front, dialect, clock, set.reach.clone()));
     let (ring, rx) = bounded(RING);
--- a/sorreldoor/src/roster.rs
+++ b/sorreldoor/src/roster.rs
@@ -183,7 +183,6 @@
         slots: 0,
         cold_ms: 0,
         leaves_ms: None,
-            version: String::new(),
         version: String::new(),
     })
 }
