--- a/rig/src/site/docs.rs
+++ b/rig/src/site/docs.rs
@@ -157,9 +157,17 @@
         let cmd = match self.rng.below(10) {
             0 | 1 => {
                 let doc = spoilt(&mut self.rng, &doc);
-                Cmd::Put { base, to: None, doc }
+                Cmd::Put {
+                    base,
+                    to: None,
+                    doc,
+                }
             }
-            2..=5 => Cmd::Put { base, to: None, doc },
+            2..=5 => Cmd::Put {
+                base,
+                to: None,
+                doc,
+            },
             _ => {
                 let patch = any_patch(&mut self.rng, mark);
                 Cmd::Edit { base, patch }
@@ -170,7 +178,14 @@
             let q = self.rng.below(self.procs.len() as u64) as usize;
             let mark = self.number();
             let doc = any_doc(&mut self.rng, &regions, mark);
-            self.change(q, Cmd::Put { base, to: None, doc });
+            self.change(
+                q,
+                Cmd::Put {
+                    base,
+                    to: None,
+                    doc,
+                },
+            );
         }
         self.change(p, cmd);
     }
--- a/rig/src/site/procs.rs
+++ b/rig/src/site/procs.rs
@@ -171,7 +171,9 @@
             q.role = Role::Core(Box::new(Hub::new(s, kept, now)));
         } else {
             let plan = Plan::new(site, q.name.clone(), q.zone, q.region);
-            let pull = Pull::new(&seeds, permit, now, wall).named(&q.name).thrifty(&thrift);
+            let pull = Pull::new(&seeds, permit, now, wall)
+                .named(&q.name)
+                .thrifty(&thrift);
             q.role = Role::Edge(Box::new(Hall::new(me, plan, pull)));
         }
         let boot = q.boot;
--- a/rig/tests/site/growth.rs
+++ b/rig/tests/site/growth.rs
@@ -23,7 +23,10 @@
 }
 
 fn voters(w: &World) -> Vec<u64> {
-    let a = w.leader().and_then(|c| w.hub(c)).and_then(|h| h.agree.as_ref());
+    let a = w
+        .leader()
+        .and_then(|c| w.hub(c))
+        .and_then(|h| h.agree.as_ref());
     let ms = a.map_or(&[][..], |a| a.members());
     ms.iter().filter(|m| m.voter).map(|m| m.id).collect()
 }
@@ -61,7 +64,14 @@
     let doc = rig::fleet::setup(&w.shape);
     let at = w.cores().into_iter().find(|c| w.procs[*c].up);
     let at = at.expect("a core is up");
-    let c = w.change(at, Cmd::Put { base, to: None, doc });
+    let c = w.change(
+        at,
+        Cmd::Put {
+            base,
+            to: None,
+            doc,
+        },
+    );
     let end = w.now + 10_000;
     w.run_until(end, |w| w.changes[c].outcome.is_some());
     let taken = Outcome::Taken { serial: base + 1 };
@@ -101,7 +111,6 @@
         w.start(c);
         let from = w.now;
         let back = w.run_until(from + 5000, whole);
-        if !back { for s in w.says.iter().filter(|s| s.0 + 500 > from) { println!("{s:?}"); } }
         assert!(back, "seed {seed}: {:?} of {:?}", voters(&w), ids(&w));
         assert!(!voters(&w).contains(&was));
         println!("seed {seed}: seat back after {} ms", w.now - from);
@@ -182,10 +191,12 @@
     // nor by what it promised in a life in which it had leave
     for seed in 7510..7520 {
         let mut w = six(seed);
-        let promised = |w: &World| w.cores().iter().all(|c| {
-            let seed = *c < 3;
-            !seed || w.procs[*c].promise.is_some()
-        });
+        let promised = |w: &World| {
+            w.cores().iter().all(|c| {
+                let seed = *c < 3;
+                !seed || w.procs[*c].promise.is_some()
+            })
+        };
         let end = w.now + 5000;
         assert!(w.run_until(end, promised), "seed {seed}");
         let all = w.cores();
@@ -232,7 +243,6 @@
         }
         let end = w.now + 12_000;
         let done = w.run_until(end, whole);
-        if !done { for s in w.says.iter() { println!("{s:?}"); } for c in w.cores() { if let Some(a) = w.hub(c).and_then(|h| h.agree.as_ref()) { println!("{} {:x} gl {:?} term {} dl {} last {:?} ms {:?}", w.procs[c].name, w.procs[c].id, a.global_leader(), a.term(), a.leads_domain(), a.log().last(), a.members().iter().map(|m| format!("{:x}{}", m.id, m.voter)).collect::<Vec<_>>()); } } }
         assert!(done, "seed {seed}: {:?} of {:?}", voters(&w), ids(&w));
         assert!(base > 1, "seed {seed}");
         w.run_for(4000);
--- a/rig/tests/site/mutants.rs
+++ b/rig/tests/site/mutants.rs
@@ -221,7 +221,14 @@
             let base = top.unwrap_or(0);
             let mark = w.number();
             let doc = rig::fleet::setup(&w.shape).replace("pages", &format!("p{mark}"));
-            w.change(p, Cmd::Put { base, to: None, doc });
+            w.change(
+                p,
+                Cmd::Put {
+                    base,
+                    to: None,
+                    doc,
+                },
+            );
         }
         w.run_for(150);
     }
--- a/rig/tests/site/thrift.rs
+++ b/rig/tests/site/thrift.rs
@@ -88,7 +88,10 @@
     for seed in seeds(7800..7806) {
         let mut w = with(seed, |w| {
             w.holder_polls = Some(1000);
-            w.thrift = Thrift { gather: true, ..frugal() };
+            w.thrift = Thrift {
+                gather: true,
+                ..frugal()
+            };
         });
         w.run_for(3000);
         let e = w.edges()[0];
@@ -117,8 +120,6 @@
         w.run_for(5000);
         assert!(w.polls > polls + 2, "seed {seed}: someone reads on");
         let all = w.edges();
-        for e in &all { println!("{:x} {:x}", serial(&w, *e), second); }
-        for s in w.says.iter().filter(|s| format!("{:?}", s.2).contains("Roster") || format!("{:?}", s.2).contains("Duty")) { println!("{s:?}"); }
         let newer = all.iter().all(|e| serial(&w, *e) > second);
         assert!(newer, "seed {seed}: a new holder's list is newer");
         sound(&w, seed);
@@ -179,10 +180,16 @@
         assert!(!ready(&w, fresh), "seed {seed}: not before its time");
         let end = w.now + 12_000;
         assert!(w.run_until(end, |w| ready(w, fresh)), "seed {seed}");
-        println!("seed {seed}: serves after {} ms", 2500 + w.now + 12_000 - end);
+        println!(
+            "seed {seed}: serves after {} ms",
+            2500 + w.now + 12_000 - end
+        );
         w.run_for(5000);
         assert!(ready(&w, fresh), "seed {seed}: and goes on");
-        assert!(!ready(&w, old), "seed {seed}: it had a proof, and needs one");
+        assert!(
+            !ready(&w, old),
+            "seed {seed}: it had a proof, and needs one"
+        );
         w.start(all[0]);
         w.start(all[1]);
         let end = w.now + 8000;
--- a/rig/tests/site/zones.rs
+++ b/rig/tests/site/zones.rs
@@ -172,7 +172,11 @@
                 let mark = w.number();
                 let regions = w.site.regions.clone();
                 let doc = rig::site::any_doc(&mut w.rng, &regions, mark);
-                Cmd::Put { base: 1, to: None, doc }
+                Cmd::Put {
+                    base: 1,
+                    to: None,
+                    doc,
+                }
             }
             1 => {
                 let patch = r#"{"retry":{"percent":7}}"#.to_string();
--- a/sorreldoor/src/core/deliver.rs
+++ b/sorreldoor/src/core/deliver.rs
@@ -204,13 +204,7 @@
         &self.places
     }
 
-    pub(super) fn on_renew(
-        &mut self,
-        conn: Conn,
-        ask: (u64, Have),
-        doing: Doing,
-        unproven: bool,
-    ) {
+    pub(super) fn on_renew(&mut self, conn: Conn, ask: (u64, Have), doing: Doing, unproven: bool) {
         let Some(s) = self.seats.get_mut(&conn) else {
             return;
         };
@@ -228,7 +222,14 @@
         // nothing to serve by need not wait for it
         if unproven && !led {
             let news = self.news(&have);
-            return self.send(conn, Payload::Grant { no, ok: false, news });
+            return self.send(
+                conn,
+                Payload::Grant {
+                    no,
+                    ok: false,
+                    news,
+                },
+            );
         }
         self.wants.push(Want::Grant { conn, no, have });
     }
--- a/sorreldoor/src/core/duty.rs
+++ b/sorreldoor/src/core/duty.rs
@@ -70,7 +70,10 @@
         }
         let epoch = self.epoch();
         let age = self.now.saturating_sub(self.roster_at);
-        let same = self.roster.as_ref().is_some_and(|o| o.same(&r.workers, age));
+        let same = self
+            .roster
+            .as_ref()
+            .is_some_and(|o| o.same(&r.workers, age));
         // why: a new holder's first list must be newer than all that an older
         // one may still tell of
         if same && self.poll.epoch == epoch {
--- a/sorreldoor/src/core/found.rs
+++ b/sorreldoor/src/core/found.rs
@@ -35,6 +35,9 @@
             .filter(|m| m.id != self.me.id)
             .filter_map(|m| m.addr.parse().ok())
             .collect();
+        if members.is_empty() {
+            want.extend(&self.known);
+        }
         want.extend(self.seeds.iter());
         want.retain(|a| Some(*a) != own);
         for a in want.difference(&self.dials) {
@@ -49,15 +52,7 @@
     /// A blank core: found with the others, or join what is founded.
     pub(super) fn founding_alarm(&mut self) {
         let live = self.live_cores(1500);
-        let told: Vec<Conn> = live.values().filter(|(_, h)| h.founded).map(|l| l.0).collect();
-        if !told.is_empty() {
-            // why: whether this core was promised a seat is the founders' to say,
-            // and one of them may not answer, so each time another is asked
-            let c = told[(self.now / ASK_MS) as usize % told.len()];
-            let set = self.promise.clone().unwrap_or_default();
-            return self.send(c, Payload::Founding(Founding::Promise { set }));
-        }
-        if !self.bootstrap {
+        if self.ask_founded(&live) || !self.bootstrap {
             return;
         }
         if let Some(mut set) = self.founding_set(&live) {
@@ -83,6 +78,24 @@
         }
     }
 
+    /// Ask a founded core what this one is, and where the others are; false
+    /// if none is heard of.
+    pub(super) fn ask_founded(&mut self, live: &BTreeMap<Nid, (Conn, Hello)>) -> bool {
+        let told: Vec<Conn> = live
+            .values()
+            .filter(|(_, h)| h.founded)
+            .map(|l| l.0)
+            .collect();
+        if !told.is_empty() {
+            // why: whether this core was promised a seat is the founders' to say,
+            // and one of them may not answer, so each time another is asked
+            let c = told[(self.now / ASK_MS) as usize % told.len()];
+            let set = self.promise.clone().unwrap_or_default();
+            self.send(c, Payload::Founding(Founding::Promise { set }));
+        }
+        !told.is_empty()
+    }
+
     /// Whom to found with, once all of them are here and nothing is promised.
     fn founding_set(&self, live: &BTreeMap<Nid, (Conn, Hello)>) -> Option<Vec<Member>> {
         let all: Vec<&Hello> = live.values().map(|(_, h)| h).chain([&self.me]).collect();
@@ -139,11 +152,15 @@
                 // identity may take its seat; any other joins as a non-voter
                 let seat = a.members().iter().any(|m| m.id == from.id && m.voter);
                 let set = if seat { set } else { Vec::new() };
-                self.send(conn, Payload::Founding(Founding::Founded { set }));
+                // why: a newcomer knows its seeds only, and the leader may be none
+                let at = a.members().iter().map(|m| m.addr.clone()).collect();
+                self.send(conn, Payload::Founding(Founding::Founded { set, at }));
             }
-            Founding::Founded { set } => {
+            Founding::Founded { set, at } => {
+                let at = at.iter().filter_map(|a| a.parse().ok());
+                self.known = at.collect();
                 if self.agree.is_some() {
-                    return;
+                    return self.redial();
                 }
                 if self.promise.as_ref() == Some(&set) && !set.is_empty() {
                     return self.found(set);
@@ -246,7 +263,10 @@
             let lost = ms.iter().filter(near).any(|m| self.gone(m));
             // why: one that is silent may be just what the newcomer replaces,
             // and its seat is then not needed beside the newcomer's
-            let quiet = ms.iter().filter(near).any(|m| self.silent(m, self.pace.dead));
+            let quiet = ms
+                .iter()
+                .filter(near)
+                .any(|m| self.silent(m, self.pace.dead));
             let free = if self.grow {
                 !quiet
             } else {
@@ -273,7 +293,9 @@
             let a = self.agree.as_ref();
             let waits = |l: &Member| !l.voter && l.zone == m.zone;
             let heir = ms.iter().filter(|l| waits(l));
-            let heir = heir.map(|l| l.id).any(|l| a.is_some_and(|a| a.caught_up(l)));
+            let heir = heir
+                .map(|l| l.id)
+                .any(|l| a.is_some_and(|a| a.caught_up(l)));
             // why: one that is gone for long only makes majorities harder to
             // reach; it joins again if it does come back
             let long = voters > self.cores && self.silent(m, self.replace_ms * LONG);
--- a/sorreldoor/src/core/hub.rs
+++ b/sorreldoor/src/core/hub.rs
@@ -24,6 +24,8 @@
     pub(super) grow: bool,
     /// The addresses that found the site, where it grows.
     pub(super) founders: BTreeSet<SocketAddr>,
+    /// Where a founded core said that the members are.
+    pub(super) known: BTreeSet<SocketAddr>,
     pub(super) thrift: Thrift,
     pub(super) pace: Pace,
     pub(super) seed: u64,
@@ -127,6 +129,9 @@
     fn slow_alarm(&mut self) {
         if self.agree.is_none() {
             self.founding_alarm();
+        } else if self.agree.as_ref().is_some_and(|a| a.members().is_empty()) {
+            let live = self.live_cores(1500);
+            self.ask_founded(&live);
         } else {
             self.members_alarm();
             self.duty_alarm();
--- a/sorreldoor/src/core/mod.rs
+++ b/sorreldoor/src/core/mod.rs
@@ -17,10 +17,10 @@
 mod start;
 mod status;
 
+pub use api::{Api, Door};
 pub use book::KEEP_MS;
 pub use events::{HubEvent, HubFx, OpFrom, Start, Want};
-pub use hub::Hub;
-pub use api::{Api, Door};
 pub use front::{Answers, Front, Looked, Reply};
+pub use hub::Hub;
 pub use run::{run, run_by, run_with};
 pub use source::{Later, Listed, OperatorDoor, WorkerSource};
--- a/sorreldoor/src/core/run.rs
+++ b/sorreldoor/src/core/run.rs
@@ -46,11 +46,7 @@
 ///
 /// # Errors
 /// Why the core cannot start, in words.
-pub fn run_by<C, S>(
-    set: Settings,
-    clock: C,
-    wrap: impl FnOnce(WalStore) -> S,
-) -> Result<(), String>
+pub fn run_by<C, S>(set: Settings, clock: C, wrap: impl FnOnce(WalStore) -> S) -> Result<(), String>
 where
     C: seam::Clock,
     S: Store + 'static,
--- a/sorreldoor/src/edge/hall.rs
+++ b/sorreldoor/src/edge/hall.rs
@@ -240,13 +240,15 @@
                     shed: self.table.counts.shed,
                     took: self.took(),
                 };
-                self.out
-                    .push(HallFx::Send(conn, Payload::Renew {
+                self.out.push(HallFx::Send(
+                    conn,
+                    Payload::Renew {
                         no,
                         have,
                         doing,
                         unproven,
-                    }));
+                    },
+                ));
             }
             PullFx::Lost => self.say(Ev::SessionLost, "silent"),
             PullFx::Woken(s) => self.say(Ev::Woken, s),
--- a/sorreldoor/src/edge/session.rs
+++ b/sorreldoor/src/edge/session.rs
@@ -121,7 +121,8 @@
             self.pull.have.cores = at;
             let region = self.me.region;
             let near = |(a, r): &(String, u8)| a.parse().ok().map(|a| (a, *r == region));
-            self.pull.take_cores(cores.iter().filter_map(near).collect());
+            self.pull
+                .take_cores(cores.iter().filter_map(near).collect());
         }
     }
 
--- a/sorreldoor/src/ops.rs
+++ b/sorreldoor/src/ops.rs
@@ -75,7 +75,14 @@
         (Method::Get, ["proposals", id]) => {
             read_pid(id).map(Op::Proposal).ok_or(Problem::BadErrand)
         }
-        (Method::Put, ["setup"]) => doc(req, |base, doc| Cmd::Put { base, to: None, doc }).await,
+        (Method::Put, ["setup"]) => {
+            doc(req, |base, doc| Cmd::Put {
+                base,
+                to: None,
+                doc,
+            })
+            .await
+        }
         (Method::Patch, ["setup"]) => doc(req, |base, patch| Cmd::Edit { base, patch }).await,
         (Method::Post, ["check"]) => check(req, site).await,
         (Method::Post, ["zones", z, "empty"]) => zone(req, site, z, true),
--- a/sorreldoor/src/pull.rs
+++ b/sorreldoor/src/pull.rs
@@ -181,7 +181,12 @@
             self.sent.remove(0);
         }
         let soon = self.left(now) < self.permit_ms / 2;
-        self.renew_at = now + if soon { AGAIN_MS.min(self.renew_ms) } else { self.renew_ms };
+        self.renew_at = now
+            + if soon {
+                AGAIN_MS.min(self.renew_ms)
+            } else {
+                self.renew_ms
+            };
         let (no, unproven) = (self.no, self.unproven(now));
         PullFx::Renew { conn, no, unproven }
     }
--- a/sorreldoor/src/wire.rs
+++ b/sorreldoor/src/wire.rs
@@ -132,7 +132,12 @@
     /// Sent by a blank core: the set it has promised to found with.
     Promise { set: Vec<Member> },
     /// Sent by a founded core to a blank one.
-    Founded { set: Vec<Member> },
+    Founded {
+        set: Vec<Member>,
+        /// Where the members are.
+        #[serde(default)]
+        at: Vec<String>,
+    },
 }
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
--- a/sorreldoor/tests/fuzz.rs
+++ b/sorreldoor/tests/fuzz.rs
@@ -165,7 +165,11 @@
     // patches on a record: taken whole or not at all
     let mut r = Record::new(Arc::new(site));
     let text = String::from_utf8(doc).unwrap();
-    let put = Cmd::Put { base: 0, to: None, doc: text };
+    let put = Cmd::Put {
+        base: 0,
+        to: None,
+        doc: text,
+    };
     r.apply(1, 1, &encode(&put));
     let patch =
         br#"{"routes":{"draft":{"cutoff_ms":4000,"home":true}},"spill":{"north":{"south":5}}}"#;
--- a/sorreldoor/tests/record.rs
+++ b/sorreldoor/tests/record.rs
@@ -28,7 +28,11 @@
     }
     fn put(&mut self, base: u64) -> Outcome {
         let doc = DOC.to_string();
-        self.act(Cmd::Put { base, to: None, doc })
+        self.act(Cmd::Put {
+            base,
+            to: None,
+            doc,
+        })
     }
 }
 
