--- a/rig/tests/site/growth.rs
+++ b/rig/tests/site/growth.rs
@@ -111,11 +111,6 @@
         w.start(c);
         let from = w.now;
         let back = w.run_until(from + 5000, whole);
-        if !back {
-            for s in w.says.iter().filter(|s| s.0 + 500 > from) {
-                println!("{s:?}");
-            }
-        }
         assert!(back, "seed {seed}: {:?} of {:?}", voters(&w), ids(&w));
         assert!(!voters(&w).contains(&was));
         println!("seed {seed}: seat back after {} ms", w.now - from);
@@ -248,28 +243,6 @@
         }
         let end = w.now + 12_000;
         let done = w.run_until(end, whole);
-        if !done {
-            for s in w.says.iter() {
-                println!("{s:?}");
-            }
-            for c in w.cores() {
-                if let Some(a) = w.hub(c).and_then(|h| h.agree.as_ref()) {
-                    println!(
-                        "{} {:x} gl {:?} term {} dl {} last {:?} ms {:?}",
-                        w.procs[c].name,
-                        w.procs[c].id,
-                        a.global_leader(),
-                        a.term(),
-                        a.leads_domain(),
-                        a.log().last(),
-                        a.members()
-                            .iter()
-                            .map(|m| format!("{:x}{}", m.id, m.voter))
-                            .collect::<Vec<_>>()
-                    );
-                }
-            }
-        }
         assert!(done, "seed {seed}: {:?} of {:?}", voters(&w), ids(&w));
         assert!(base > 1, "seed {seed}");
         w.run_for(4000);
--- a/sorreldoor/src/core/found.rs
+++ b/sorreldoor/src/core/found.rs
@@ -35,6 +35,9 @@
             .filter(|m| m.id != self.me.id)
             .filter_map(|m| m.addr.parse().ok())
             .collect();
+        if members.is_empty() {
+            want.extend(&self.known);
+        }
         want.extend(self.seeds.iter());
         want.retain(|a| Some(*a) != own);
         for a in want.difference(&self.dials) {
@@ -49,19 +52,7 @@
     /// A blank core: found with the others, or join what is founded.
     pub(super) fn founding_alarm(&mut self) {
         let live = self.live_cores(1500);
-        let told: Vec<Conn> = live
-            .values()
-            .filter(|(_, h)| h.founded)
-            .map(|l| l.0)
-            .collect();
-        if !told.is_empty() {
-            // why: whether this core was promised a seat is the founders' to say,
-            // and one of them may not answer, so each time another is asked
-            let c = told[(self.now / ASK_MS) as usize % told.len()];
-            let set = self.promise.clone().unwrap_or_default();
-            return self.send(c, Payload::Founding(Founding::Promise { set }));
-        }
-        if !self.bootstrap {
+        if self.ask_founded(&live) || !self.bootstrap {
             return;
         }
         if let Some(mut set) = self.founding_set(&live) {
@@ -87,6 +78,24 @@
         }
     }
 
+    /// Ask a founded core what this one is, and where the others are; false
+    /// if none is heard of.
+    pub(super) fn ask_founded(&mut self, live: &BTreeMap<Nid, (Conn, Hello)>) -> bool {
+        let told: Vec<Conn> = live
+            .values()
+            .filter(|(_, h)| h.founded)
+            .map(|l| l.0)
+            .collect();
+        if !told.is_empty() {
+            // why: whether this core was promised a seat is the founders' to say,
+            // and one of them may not answer, so each time another is asked
+            let c = told[(self.now / ASK_MS) as usize % told.len()];
+            let set = self.promise.clone().unwrap_or_default();
+            self.send(c, Payload::Founding(Founding::Promise { set }));
+        }
+        !told.is_empty()
+    }
+
     /// Whom to found with, once all of them are here and nothing is promised.
     fn founding_set(&self, live: &BTreeMap<Nid, (Conn, Hello)>) -> Option<Vec<Member>> {
         let all: Vec<&Hello> = live.values().map(|(_, h)| h).chain([&self.me]).collect();
@@ -143,11 +152,15 @@
                 // identity may take its seat; any other joins as a non-voter
                 let seat = a.members().iter().any(|m| m.id == from.id && m.voter);
                 let set = if seat { set } else { Vec::new() };
-                self.send(conn, Payload::Founding(Founding::Founded { set }));
+                // why: a newcomer knows its seeds only, and the leader may be none
+                let at = a.members().iter().map(|m| m.addr.clone()).collect();
+                self.send(conn, Payload::Founding(Founding::Founded { set, at }));
             }
-            Founding::Founded { set } => {
+            Founding::Founded { set, at } => {
+                let at = at.iter().filter_map(|a| a.parse().ok());
+                self.known = at.collect();
                 if self.agree.is_some() {
-                    return;
+                    return self.redial();
                 }
                 if self.promise.as_ref() == Some(&set) && !set.is_empty() {
                     return self.found(set);
@@ -174,6 +187,7 @@
             return;
         }
         let ms = a.members().to_vec();
+        self.note_waiting(&ms);
         let live = self.freshest();
         let next = joiner(&ms, &live, self.grow)
             .or_else(|| self.usurped(&ms, &live))
@@ -185,6 +199,15 @@
         }
     }
 
+    /// Since when each non-voter has been seen waiting.
+    fn note_waiting(&mut self, ms: &[Member]) {
+        let waits = |id: &Nid| ms.iter().any(|m| m.id == *id && !m.voter);
+        self.waiting.retain(|id, _| waits(id));
+        for m in ms.iter().filter(|m| !m.voter) {
+            self.waiting.entry(m.id).or_insert(self.now);
+        }
+    }
+
     /// Live cores, one for each address: the one heard last. What an earlier
     /// process there said is still on its line for a while.
     fn freshest(&self) -> Vec<Hello> {
@@ -254,8 +277,11 @@
                 .iter()
                 .filter(near)
                 .any(|m| self.silent(m, self.pace.dead));
+            // why: and one that died as the newcomer came is not silent yet
+            let since = self.waiting.get(&l.id).copied().unwrap_or(self.now);
+            let seen = self.now.saturating_sub(since) >= self.pace.dead * 2;
             let free = if self.grow {
-                !quiet
+                !quiet && seen
             } else {
                 voters < self.cores || lost
             };
