--- a/rig/src/hollow/cli.rs
+++ b/rig/src/hollow/cli.rs
@@ -121,19 +121,30 @@
     Ok(())
 }
 
+/// Three figures that count, whatever its size.
+fn short(x: f64) -> String {
+    if x.abs() >= 100.0 {
+        format!("{x:.0}")
+    } else if x.abs() >= 0.01 {
+        format!("{x:.3}")
+    } else {
+        format!("{x:.2e}")
+    }
+}
+
 fn told(f: &Found, at: &Row) -> String {
     let terms: Vec<String> = f
         .terms
         .iter()
-        .map(|(n, s)| format!("{s:.4} per {n}"))
+        .map(|(n, s)| format!("{} per {n}", short(*s)))
         .collect();
     format!(
-        "| {} | {} | {:.1} % | {:.1} % | {} | {:.1} |",
+        "| {} | {} | {:.1} % | {:.1} % | {} | {} |",
         f.key,
         terms.join(" + "),
         f.rms * 100.0,
         f.worst * 100.0,
         f.rows,
-        f.at(at)
+        short(f.at(at))
     )
 }
--- a/rig/src/hollow/fit.rs
+++ b/rig/src/hollow/fit.rs
@@ -41,6 +41,7 @@
         ("node/core", n / c),
         ("claim/s/core", k / c),
         ("claim/s x core", k * c),
+        ("claim/s/node", k / n.max(1.0)),
         ("worker/core", w / c),
         ("route told", told),
         ("node x core", n * c),
@@ -129,6 +130,19 @@
     Some(Try { slopes, rms, worst })
 }
 
+/// A term that may go again at next to no cost.
+fn spare(cols: &[usize], all: &[Vec<f64>], y: &[f64], now: Option<&Try>) -> Option<(usize, Try)> {
+    let most = now?.rms * (1.0 + GAIN / 4.0) + GOOD / 4.0;
+    (0..cols.len().saturating_sub(1))
+        .filter_map(|i| {
+            let mut without = cols.to_vec();
+            without.remove(i);
+            attempt(&without, all, y).map(|t| (i, t))
+        })
+        .filter(|(_, t)| t.rms <= most)
+        .min_by(|a, b| a.1.rms.total_cmp(&b.1.rms))
+}
+
 /// Term by term, the one that takes off most of the error, while one helps.
 pub fn fit(key: &str, rows: &[Row]) -> Option<Found> {
     let rows: Vec<&Row> = rows.iter().filter(|r| r.contains_key(key)).collect();
@@ -140,7 +154,12 @@
     let names: Vec<&'static str> = products(rows.first()?).into_iter().map(|p| p.0).collect();
     let mut cols: Vec<usize> = Vec::new();
     let mut best: Option<Try> = None;
-    while cols.len() < MOST_TERMS.min(rows.len().saturating_sub(1)) {
+    let most = MOST_TERMS.min(rows.len().saturating_sub(1));
+    // why: a term may go and come again, but not for ever
+    for _ in 0..3 * MOST_TERMS {
+        if cols.len() >= most {
+            break;
+        }
         let was = best.as_ref().map_or(f64::MAX, |b| b.rms);
         if was < GOOD {
             break;
@@ -159,6 +178,11 @@
                 best = Some(t);
             }
         }
+        // why: what stood in for a product before it came in explains nothing now
+        while let Some((i, t)) = spare(&cols, &all, &y, best.as_ref()) {
+            cols.remove(i);
+            best = Some(t);
+        }
     }
     let t = best?;
     Some(Found {
--- a/rig/src/hollow/node.rs
+++ b/rig/src/hollow/node.rs
@@ -61,7 +61,9 @@
         let pull = Pull::new(seeds, PERMIT, now.mono, now.wall).named(&me.node);
         let plan = Plan::new(site, me.node.clone(), me.zone, me.region);
         let mut h = Hall::new(me, plan, pull);
-        let rows = took.into_iter().map(|t| ((t.route, t.service), (t.n, t.ms)));
+        let rows = took
+            .into_iter()
+            .map(|t| ((t.route, t.service), (t.n, t.ms)));
         h.table.took = rows.collect();
         Node::Full(Box::new(h))
     }
--- a/rig/src/hollow/report.rs
+++ b/rig/src/hollow/report.rs
@@ -57,7 +57,10 @@
         let b = w.befall();
         fault(&mut row, &b);
     }
-    w.memory(&mut row, heap);
+    // why: after a fault the heap tells of the fault, not of the size
+    if size.fault == Fault::None {
+        w.memory(&mut row, heap);
+    }
     Report { row }
 }
 
@@ -165,7 +168,11 @@
         };
         if let Some(a) = &h.agree {
             let v = a.machine().view();
-            put(row, "size.doc", v.doc.as_ref().map_or(0, |d| d.len()) as f64);
+            put(
+                row,
+                "size.doc",
+                v.doc.as_ref().map_or(0, |d| d.len()) as f64,
+            );
             put(row, "size.record", encode(&v).len() as f64);
         }
         if let Some(r) = &h.roster {
