--- a/rig/src/hollow/core.rs
+++ b/rig/src/hollow/core.rs
@@ -7,6 +7,7 @@
 use sorreldoor::record::{Cmd, Outcome};
 use sorreldoor::roster;
 use sorreldoor::seam::Reducer;
+use sorreldoor::thrift::Thrift;
 use sorreldoor::wire::{Hello, OpOutcome};
 use std::net::SocketAddr;
 
@@ -31,6 +32,10 @@
             promise: None,
             sure: false,
             most_claims: self.size.most_claims,
+            bootstrap: true,
+            grow: false,
+            thrift: Thrift::default(),
+            poll_ms: None,
         };
         Hub::new(start, None, self.now)
     }
@@ -185,7 +190,11 @@
         let base = a.map_or(0, |a| a.machine().serial());
         let cmd = if base == 0 {
             let doc = given::setup(&self.size);
-            Cmd::Put { base, doc }
+            Cmd::Put {
+                base,
+                doc,
+                to: None,
+            }
         } else {
             given::edit(&self.size, base, &mut self.rng)
         };
--- a/rig/src/hollow/node.rs
+++ b/rig/src/hollow/node.rs
@@ -5,7 +5,7 @@
 use sorreldoor::edge::{Hall, HallEvent, HallFx};
 use sorreldoor::errand::Plan;
 use sorreldoor::net::{Conn, NetEvent};
-use sorreldoor::pull::{Pull, PullFx};
+use sorreldoor::pull::{Granted, Pull, PullFx};
 use sorreldoor::seam::{Now, Reducer};
 use sorreldoor::setup::Site;
 use sorreldoor::wire::*;
@@ -159,8 +159,11 @@
                 Payload::Ping { .. } => {
                     self.out.push(Out::Send(conn, Payload::Ping { no: 0 }));
                 }
-                Payload::Grant { no, ok, news } if self.pull.granted(no, ok, now.mono) => {
-                    self.take(news);
+                Payload::Grant { no, ok, news } => {
+                    let some = news.record.as_ref().is_some_and(|r| r.doc.is_some());
+                    if self.pull.granted(no, ok, some, now.mono) != Granted::No {
+                        self.take(news);
+                    }
                 }
                 _ => {}
             },
@@ -172,7 +175,7 @@
         match f {
             PullFx::Dial(a) => self.out.push(Out::Dial(a)),
             PullFx::Undial(a) => self.out.push(Out::Undial(a)),
-            PullFx::Renew { conn, no } => {
+            PullFx::Renew { conn, no, unproven } => {
                 // why: at a few dozen errands a second no two renewals tell the same
                 self.running = (self.running + 7) % 97;
                 self.took.iter_mut().for_each(|t| t.n += 1);
@@ -185,7 +188,12 @@
                     took: self.took.clone(),
                     ..Doing::default()
                 };
-                let p = Payload::Renew { no, have, doing };
+                let p = Payload::Renew {
+                    no,
+                    have,
+                    doing,
+                    unproven,
+                };
                 self.out.push(Out::Send(conn, p));
             }
             _ => {}
@@ -207,8 +215,11 @@
         if let Some(s) = n.seats {
             have.seats = s.0;
         }
-        let near = |(a, r): (String, u8)| a.parse().ok().map(|a| (a, r == self.me.region));
-        let cores = n.cores.into_iter().filter_map(near).collect();
-        self.pull.take_cores(cores);
+        if let Some((at, cores)) = n.cores {
+            have.cores = at;
+            let near = |(a, r): (String, u8)| a.parse().ok().map(|a| (a, r == self.me.region));
+            let cores = cores.into_iter().filter_map(near).collect();
+            self.pull.take_cores(cores);
+        }
     }
 }
