--- a/sorreldoor/src/proxy/carry.rs
+++ b/sorreldoor/src/proxy/carry.rs
@@ -25,7 +25,9 @@
 /// Idle connections are taken again within this, for what may run twice.
 const ANY_AGE: Duration = Duration::from_secs(3600);
 /// Silence at a worker is not taken for its end before this.
-const LEAST_PATIENCE: Ms = 200;
+const LEAST_PATIENCE: Ms = 400;
+/// Between looks at whether a silent worker is to be left.
+pub const LOOK: Ms = 100;
 
 /// What every sending of one request shares.
 pub struct Job {
@@ -104,10 +106,16 @@
         drop(line);
         self.sh.pool.lost(self.to.worker);
     }
-    /// Whether another worker could take it from here.
-    pub fn may_move(&self) -> bool {
+    /// Whether another worker could take it from here, its own having been
+    /// silent for so long.
+    pub fn may_move(&self, silent: Ms) -> bool {
         let now = self.now();
-        self.sh.lock().table.may_move(self.job.rid, now)
+        self.sh.lock().table.may_move(self.job.rid, silent, now)
+    }
+    /// Its worker lives.
+    pub fn pulse(&self) {
+        let now = self.now();
+        self.sh.lock().table.pulse(self.job.rid, now);
     }
 }
 
@@ -264,7 +272,7 @@
     line: &mut Line,
 ) -> Result<Head, Heard> {
     let aim = Some(s.route.aim_ms).filter(|a| *a > 0);
-    let patience = aim.map_or(Ms::MAX, |a| (a / 2).max(LEAST_PATIENCE));
+    let patience = aim.map_or(Ms::MAX / 2, |a| a.max(LEAST_PATIENCE));
     let mut until = s.now().saturating_add(patience);
     loop {
         match take_answer(&mut line.buf) {
@@ -279,10 +287,10 @@
         }
         if now >= until {
             // why: only if another may take it is it worth leaving this one
-            if s.may_move() {
+            if s.may_move(patience) {
                 return Err(Heard::Broke);
             }
-            until = Ms::MAX;
+            until = now + LOOK;
         }
         let ms = until.min(s.deadline) - now;
         match listen(line, Some(c), ms).await {
@@ -343,7 +351,7 @@
         Ok(body) => {
             let bytes = plain(c, &head, &body);
             // why: a worker's failure is its answer, unless another may do better
-            let again = head.status >= 500 && s.may_move();
+            let again = head.status >= 500 && s.may_move(0);
             s.heard(Heard::Done(head.status));
             if again {
                 flow.failed = Some(bytes);
--- a/sorreldoor/src/proxy/client.rs
+++ b/sorreldoor/src/proxy/client.rs
@@ -17,6 +17,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+/// Without any configuration a node asks callers back after so many milliseconds.
+const NEW: u64 = 700;
 /// How long an answer to a request that was not read whole may take to be seen.
 const LINGER: Duration = Duration::from_millis(500);
 
@@ -203,7 +205,13 @@
         .begin(host, head.path(), asked.clone(), now, now);
     let rid = match began {
         Ok(r) => r,
-        Err(p) => return c.answer(p, if p.again() { 200 } else { 0 }).await,
+        Err(p) => {
+            // why: a node that has just started needs a while to know its way,
+            // and callers heed a third of their time at most
+            let third = asked.deadline_ms.unwrap_or(3000) / 3;
+            let again = if p.again() { third.min(NEW) } else { 0 };
+            return c.answer(p, again).await;
+        }
     };
     let job = Job {
         rid,
--- a/sorreldoor/src/proxy/front.rs
+++ b/sorreldoor/src/proxy/front.rs
@@ -7,6 +7,7 @@
 use crate::net::{Conn, NetEvent};
 use crate::pull::{Granted, Pull, PullFx};
 use crate::record::View;
+use crate::roster::Roster;
 use crate::seam::{Now, Reducer};
 use crate::setup::{self, Site};
 use crate::wire::*;
@@ -144,7 +145,7 @@
                 }
             }
             NetEvent::Down { conn } => self.pull.down(conn),
-            NetEvent::Frame { conn, payload } => match *payload {
+            NetEvent::Frame { payload, .. } => match *payload {
                 Payload::Grant { no, ok, news } => {
                     // why: news from a core that could not prove itself may be
                     // old, and is taken only by a node that has none at all
@@ -153,10 +154,7 @@
                         self.take_news(news);
                     }
                 }
-                Payload::Ping { .. } => {
-                    let p = Payload::Ping { no: 0 };
-                    self.out.push(FrontFx::Send(conn, p));
-                }
+                Payload::Roster(r) => self.take_list(&r),
                 _ => {}
             },
         }
@@ -168,8 +166,7 @@
             self.take_view(v);
         }
         if let Some(r) = n.roster {
-            self.pull.have.roster = r.serial;
-            self.table.take_roster(&r, self.now);
+            self.take_list(&r);
         }
         if let Some(s) = n.seats {
             self.pull.have.seats = s.0;
@@ -184,6 +181,14 @@
         }
     }
 
+    fn take_list(&mut self, r: &Roster) {
+        // why: lists are told by more than one way, and an older may come later
+        if r.serial > self.pull.have.roster {
+            self.pull.have.roster = r.serial;
+            self.table.take_roster(r, self.now);
+        }
+    }
+
     fn take_view(&mut self, v: View) {
         let was = (self.view.serial, self.view.doc.is_some());
         let same = was == (v.serial, v.doc.is_some());
--- a/sorreldoor/src/proxy/stream.rs
+++ b/sorreldoor/src/proxy/stream.rs
@@ -1,7 +1,7 @@
 //! Streams of events: passed on as they come, taken up at another worker
 //! where the route allows, and never made to look finished when they are not.
 
-use super::carry::{give_back, listen, stream_head, Sending, Sent, Woke};
+use super::carry::{give_back, listen, stream_head, Sending, Sent, Woke, LOOK};
 use super::client::Client;
 use super::dialect::Dialect;
 use super::http1::{Decoder, Framing, Head};
@@ -10,6 +10,9 @@
 use crate::agree::Ms;
 use crate::seam::Clock;
 
+/// Silence in the middle of a stream is not taken for its end before this.
+const LEAST_GAP: Ms = 400;
+
 /// How far a caller's stream has come, over all workers that served it.
 #[derive(Debug, Default)]
 pub struct Flow {
@@ -93,9 +96,9 @@
     let mut d = Decoder::new(framing);
     let mut got = Vec::new();
     let mut first = true;
-    // why: a stream that moves must still be read anew within the pause allowed
+    // why: a pause shorter than what makes it late gives no reason to move
     let gap = Some(s.route.gap_ms).filter(|g| *g > 0 && s.route.resume);
-    let gap = gap.map_or(Ms::MAX, |g| g * 6 / 10);
+    let gap = gap.map_or(Ms::MAX / 2, |g| g.max(LEAST_GAP));
     let mut until = s.now().saturating_add(gap);
     loop {
         let whole = match d.run(&mut line.buf, &mut got) {
@@ -131,13 +134,14 @@
             return broke(s, line, Heard::Left);
         }
         if now >= until {
-            if s.may_move() {
+            if s.may_move(gap) {
                 return broke(s, line, Heard::Broke);
             }
-            until = Ms::MAX;
+            until = now + LOOK;
         }
         match listen(&mut line, None, until.min(s.deadline) - now).await {
-            Woke::Read | Woke::Late => {}
+            Woke::Read => s.pulse(),
+            Woke::Late => {}
             Woke::Gone => return broke(s, line, Heard::Left),
             Woke::Broke if d.ended() => {
                 // why: only the worker's end tells the end of such a body, and the
--- a/sorreldoor/src/proxy/table/mod.rs
+++ b/sorreldoor/src/proxy/table/mod.rs
@@ -4,6 +4,7 @@
 mod budget;
 mod hash;
 mod health;
+mod heavy;
 mod kept;
 mod nodes;
 mod pick;
--- a/sorreldoor/src/proxy/table/pick.rs
+++ b/sorreldoor/src/proxy/table/pick.rs
@@ -2,12 +2,13 @@
 
 use super::rank::{Choice, Offer};
 use super::reqs::{weighted, Req, Sending};
+use super::spot::Spot;
 use super::state::Table;
 use super::waits::{Line, Rank, TICK};
 use super::{Pick, Rid, Target};
 use crate::agree::Ms;
 use crate::problem::Problem;
-use crate::setup::hosted::Route;
+use crate::setup::hosted::{Hosted, Route};
 
 /// With less time left nothing is sent any more, in milliseconds.
 const TOO_LATE: Ms = 5;
@@ -87,18 +88,27 @@
             return self.wait(r, line, rank, until, now);
         }
         // why: a refusal while half the places are free is worse than a queue
-        if let Some(c) = o.full.filter(|_| o.taken * 2.0 < o.slots) {
+        let queue = o.taken * 2.0 < o.slots;
+        // why: what began must not end because it would have to wait
+        if let Some(c) = o.full.filter(|_| queue || r.may_have_run) {
             return self.go(r, svc, c, route, now);
         }
         self.refuse(r, Problem::NoWorker, now)
     }
 
     /// Whether a request that is at a worker could be taken up by another one:
-    /// its route, its sendings so far and the budget allow it.
-    pub fn may_move(&self, rid: Rid, now: Ms) -> bool {
-        let (Some(r), Some(h)) = (self.reqs.get(rid), &self.hosted) else {
+    /// its route, its sendings so far, the budget and another worker's room
+    /// allow it, and nothing was heard of its worker for `silent` ms.
+    pub fn may_move(&mut self, rid: Rid, silent: Ms, now: Ms) -> bool {
+        let (Some(r), Some(h)) = (self.reqs.lend(rid), self.hosted.clone()) else {
             return false;
         };
+        let yes = self.movable(&r, &h, silent, now);
+        self.reqs.back(rid, r);
+        yes
+    }
+
+    fn movable(&mut self, r: &Req, h: &Hosted, silent: Ms, now: Ms) -> bool {
         let route = r.route.filter(|_| r.edition == self.edition);
         let Some(route) = route.and_then(|i| h.routes.get(i as usize)) else {
             return false;
@@ -106,15 +116,25 @@
         let spent = r.sent >= route.attempts.max(1) || r.once || !route.repeatable();
         let late = r.deadline < now + TOO_LATE;
         let here = r.sending.and_then(|s| self.spots[s.spot as usize].as_ref());
-        let Some(w) = here.filter(|_| !spent && !late) else {
+        // why: a worker that speaks to others is slow, not gone
+        let dead = |w: &&Box<Spot>| silent == 0 || w.pulse + silent <= now;
+        let Some(w) = here.filter(|w| !spent && !late && dead(w)) else {
             return false;
         };
-        let other = |i: &u32| {
-            let x = self.spots[*i as usize].as_deref();
-            x.is_some_and(|x| self.may(x, *i, r, route) && !x.health.out())
-        };
-        let v = &self.svcs[w.service as usize];
-        v.budget.fits(&self.bounds, self.slack(w.service), now) && v.spots.iter().any(other)
+        let svc = w.service;
+        let slack = self.slack(svc);
+        let fits = self.svcs[svc as usize]
+            .budget
+            .fits(&self.bounds, slack, now);
+        fits && self.offers(r, route, now).1.best().is_some()
+    }
+
+    /// Something was heard of the worker that a request is at.
+    pub fn pulse(&mut self, rid: Rid, now: Ms) {
+        let s = self.reqs.get(rid).and_then(|r| r.sending);
+        if let Some(w) = s.and_then(|s| self.spots[s.spot as usize].as_mut()) {
+            w.pulse = w.pulse.max(now);
+        }
     }
 
     fn wait(&mut self, r: &mut Req, line: Line, rank: Rank, until: Ms, now: Ms) -> Pick {
--- a/sorreldoor/src/proxy/table/rank.rs
+++ b/sorreldoor/src/proxy/table/rank.rs
@@ -2,6 +2,7 @@
 //! in milliseconds for engines and in shares of a worker for others.
 
 use super::hash;
+use super::heavy::{LATELY, LONG_SHARED};
 use super::reqs::Req;
 use super::spot::{Spot, COLD_SPAN};
 use super::state::Table;
@@ -12,6 +13,10 @@
 const SMALL: u32 = 256;
 /// A trial is made with prompts of up to so many tokens, if there are such.
 const LIGHT: u32 = 2000;
+/// What the way to another region and back costs, in milliseconds.
+const FAR: f64 = 80.0;
+/// What a worker for the other kind of prompt costs beside its load.
+const SHUN: f64 = 25.0;
 
 /// A worker chosen, and what was assumed of it.
 #[derive(Clone, Copy, Debug)]
@@ -51,6 +56,10 @@
     tokens: u32,
     shared: u32,
     key: Option<u64>,
+    /// Its shared prefix is worth a way to another region.
+    long: bool,
+    /// Such prefixes are asked for of late.
+    lately: bool,
 }
 
 impl Table {
@@ -71,10 +80,13 @@
         };
         let v = &self.svcs[svc as usize];
         let sum: u32 = r.parts.iter().map(|p| p.tokens).sum();
+        let shared: u32 = r.shared().iter().map(|p| p.tokens).sum();
         let l = Load {
             tokens: sum.max(r.tokens_in),
-            shared: r.shared().iter().map(|p| p.tokens).sum(),
+            shared,
             key: r.key().filter(|_| conf.engine),
+            long: conf.engine && shared >= LONG_SHARED,
+            lately: v.long_at.is_some_and(|t| now < t + LATELY),
         };
         let mut noise = self.draw.clone();
         let again = route.repeatable();
@@ -86,7 +98,13 @@
         };
         // why: every node finds the same worker for a prefix without a word
         let first = l.key.and_then(|k| {
-            let mine = |w: &Spot| w.region == self.place.region;
+            let mine = |w: &Spot| {
+                if l.long {
+                    w.heavy
+                } else {
+                    w.region == self.place.region
+                }
+            };
             each()
                 .filter(|(_, w)| !w.health.out())
                 .max_by_key(|(_, w)| (mine(w), hash::mix(k, w.hash)))
@@ -109,7 +127,7 @@
             }
             // why: a few behind the places keep a worker busy, more only wait
             let room = load < slots * 1.5 && now >= w.full_until;
-            let here = w.region == self.place.region;
+            let here = l.long || w.region == self.place.region;
             let to = match (room, here) {
                 (true, true) => &mut o.here,
                 (true, false) if load < slots => &mut o.far,
@@ -166,7 +184,17 @@
             let read = f64::from(reading) * v.per_token;
             let anew = f64::from(l.shared.saturating_sub(kept)) * v.per_token;
             // why: whoever reads long stalls all that run beside it
-            let stall = (w.reading as f64) * v.per_token + read * 0.5 * f.min(1.0);
+            let stall = (w.reading as f64) * v.per_token + read * (0.1 * load).min(2.0);
+            let far = if w.region == self.place.region {
+                0.0
+            } else {
+                FAR
+            };
+            let shun = match (l.long, w.heavy) {
+                (true, false) => read.max(SHUN),
+                (false, true) if l.lately => SHUN,
+                _ => 0.0,
+            };
             let queue = 60.0 * f + 1500.0 * (f - 0.8).max(0.0);
             let zone = match (near, l.shared < SMALL) {
                 (true, _) => 0.0,
@@ -178,7 +206,13 @@
             // why: a session's turns meet there, unless it is busy reading
             let anew = if first && !several { anew * 0.5 } else { anew };
             let cold = if cold { 8.0 } else { 0.0 };
-            w.slow * (queue + read + stall) + anew * (1.1 - 0.1 * next) + zone + 6.0 * noise + cold
+            w.slow * (queue + read + stall)
+                + anew * (1.1 - 0.1 * next)
+                + zone
+                + far
+                + shun
+                + 6.0 * noise
+                + cold
         } else {
             let zone = if near { 0.0 } else { 0.25 };
             w.slow * f + zone + 0.05 * noise + if cold { 0.2 } else { 0.0 }
--- a/sorreldoor/src/proxy/table/reqs.rs
+++ b/sorreldoor/src/proxy/table/reqs.rs
@@ -159,7 +159,12 @@
         };
         let s = self.drawn(&r, &h.routes[i as usize], 0.0);
         if let Some((s, _)) = s {
-            self.svcs[s as usize].budget.asked(&self.bounds, now);
+            let v = &mut self.svcs[s as usize];
+            v.budget.asked(&self.bounds, now);
+            let shared: u32 = r.shared().iter().map(|p| p.tokens).sum();
+            v.long_at = Some(now)
+                .filter(|_| shared >= super::heavy::LONG_SHARED)
+                .or(v.long_at);
         }
         self.counts.begun += 1;
         Ok(self.reqs.put(r))
@@ -198,6 +203,9 @@
         let Some(s) = self.reqs.get(rid).and_then(|r| r.sending) else {
             return;
         };
+        if !matches!(h, Heard::NoConn | Heard::Broke | Heard::Left) {
+            self.pulse(rid, now);
+        }
         match h {
             Heard::Head { load, cold_ms } => self.head(s.spot, load, cold_ms, now),
             Heard::First => self.first(rid, now),
@@ -225,6 +233,10 @@
                     w.stale = Some(serial);
                 }
                 self.note(rid, false, Some(Problem::GivenUp));
+                // why: the worker it was meant for is gone, so none has had it
+                if let Some(r) = self.reqs.get_mut(rid) {
+                    r.sent = r.sent.saturating_sub(1);
+                }
             }
             Heard::NoConn => {
                 self.unread(rid, s);
--- a/sorreldoor/src/proxy/table/spot.rs
+++ b/sorreldoor/src/proxy/table/spot.rs
@@ -32,6 +32,10 @@
     /// Not used until the list is newer than this serial.
     pub stale: Option<u64>,
     pub slots: u32,
+    /// Long shared prefixes are kept here.
+    pub heavy: bool,
+    /// When anything was last heard of it.
+    pub pulse: Ms,
     /// Requests of this node that are there.
     pub mine: u32,
     /// Requests of others there, as of `heard`.
@@ -61,6 +65,8 @@
             listed: false,
             stale: None,
             slots: 0,
+            heavy: false,
+            pulse: 0,
             mine: 0,
             others: 0.0,
             heard: 0,
--- a/sorreldoor/src/proxy/table/state.rs
+++ b/sorreldoor/src/proxy/table/state.rs
@@ -23,6 +23,10 @@
     /// Its place in the configuration in force.
     pub conf: Option<u16>,
     pub spots: Vec<u32>,
+    /// Routes of streams bound to each region by their homes, in parts.
+    pub bound: Vec<f64>,
+    /// When a long shared prefix was last asked for.
+    pub long_at: Option<Ms>,
     pub budget: Budget,
     /// Time to read one prompt token, in milliseconds.
     pub per_token: f64,
@@ -121,6 +125,8 @@
             hash: hash::name(name),
             conf: None,
             spots: Vec::new(),
+            bound: Vec::new(),
+            long_at: None,
             // why: only a node that starts anew may have forgotten what it spent
             budget: Budget::new(self.born.unwrap_or(now)),
             per_token: 0.02,
@@ -145,6 +151,7 @@
         for (c, i) in self.svc_of.iter().enumerate() {
             self.svcs[*i as usize].conf = Some(c as u16);
         }
+        self.bind(&h);
         self.hosted = Some(h);
         self.waits.all();
     }
@@ -236,6 +243,7 @@
             }
         }
         self.listed_once = true;
+        self.weigh();
         self.waits.all();
     }
 
--- a/sorreldoor/tests/table.rs
+++ b/sorreldoor/tests/table.rs
@@ -109,6 +109,7 @@
         slots,
         cold_ms: 0,
         leaves_ms: None,
+        version: String::new(),
     }
 }
 
