--- a/sorreldoor/src/proxy/table/nodes.rs
+++ b/sorreldoor/src/proxy/table/nodes.rs
@@ -50,6 +50,11 @@
         }
     }
 
+    /// Nodes that are or lately were ready, this one included.
+    pub fn known(&self) -> u32 {
+        self.all.len().max(1) as u32
+    }
+
     /// This node's part of `total`; the parts of all nodes add up to `total`
     /// at most. What is left over goes to other nodes for another `key`.
     pub fn part(&self, total: f64, key: u64) -> u32 {
--- a/sorreldoor/src/proxy/table/rank.rs
+++ b/sorreldoor/src/proxy/table/rank.rs
@@ -127,7 +127,7 @@
             }
             // why: a few behind the places keep a worker busy, more only wait
             let room = load < slots * 1.5 && now >= w.full_until;
-            let here = l.long || w.region == self.place.region;
+            let here = w.region == self.place.region || (l.long && load < slots);
             let to = match (room, here) {
                 (true, true) => &mut o.here,
                 (true, false) if load < slots => &mut o.far,
@@ -162,7 +162,13 @@
         noise: f64,
         now: Ms,
     ) -> Choice {
-        let load = w.load(now);
+        // why: what one node sends of a hot prefix, all of them send
+        let alike = if first && l.long {
+            self.nodes.known()
+        } else {
+            0
+        };
+        let load = w.load(now).max(0.6 * f64::from(w.mine) * f64::from(alike));
         let f = (load + 1.0) / f64::from(w.slots.max(conf.slots).max(1));
         let near = w.zone == self.place.zone;
         let cold = w.cold(now);
@@ -184,14 +190,14 @@
             let read = f64::from(reading) * v.per_token;
             let anew = f64::from(l.shared.saturating_sub(kept)) * v.per_token;
             // why: whoever reads long stalls all that run beside it
-            let stall = (w.reading as f64) * v.per_token + read * (0.1 * load).min(2.0);
+            let stall = (w.reading as f64) * v.per_token + read * (0.1 * load).min(1.0);
             let far = if w.region == self.place.region {
                 0.0
             } else {
                 FAR
             };
             let shun = match (l.long, w.heavy) {
-                (true, false) => read.max(SHUN),
+                (true, false) => 2.0 * SHUN,
                 (false, true) if l.lately => SHUN,
                 _ => 0.0,
             };
