Recovery: committed state at start, unproved news at once, elections by rank

Cause: after all processes had died nothing served until a leader led, read the list and proved itself: edges 503 for 1.5 to 2.5 s. Cores now keep how far they knew the log committed (in Hard and Append, no further sync) and apply that at start; edges without a record ask every 100 ms and take an unproved one, then look for a proof; a core without a list reads one; a restarted core asks for votes soon, of two that ask at once one gives way.

--- /dev/null
+++ b/rig/tests/conformance/losses.rs
@@ -0,0 +1,135 @@
+//! How long it takes to a new Global Leader, in virtual time, as a site with
+//! dear bytes is set: after all cores have died, and after the leader alone.
+
+use super::sound;
+use rig::sim::Sim;
+use sorreldoor::agree::{Event, Ms, Reg};
+use sorreldoor::thrift::Thrift;
+
+/// Regions of the cores, and the way between two regions.
+const SITES: [(&[Reg], Ms); 5] = [
+    (&[0, 0, 1], 35),
+    (&[0, 0, 1], 55),
+    (&[0, 1, 2], 55),
+    (&[0, 0, 0], 1),
+    (&[0, 0, 0, 1, 1], 55),
+];
+
+fn site(seed: u64, shape: &[Reg], far: Ms) -> Sim {
+    let thrift = Thrift {
+        beat_ms: Some(150),
+        ..Thrift::default()
+    };
+    let mut s = Sim::new(seed, shape, thrift.pace(2000));
+    s.far = far;
+    let l = s.settle();
+    let serial = s.top_serial();
+    s.change(l, serial);
+    s.run_for(2000);
+    s
+}
+
+/// The median and the longest of what `f` gives for many seeds.
+fn spread(shape: &[Reg], far: Ms, f: impl Fn(&mut Sim) -> Ms) -> (Ms, Ms) {
+    let mut all: Vec<Ms> = (0..40)
+        .map(|seed| {
+            let mut s = site(seed, shape, far);
+            let ms = f(&mut s);
+            s.run_for(3000);
+            sound(&s);
+            ms
+        })
+        .collect();
+    all.sort_unstable();
+    (all[all.len() / 2], all[all.len() - 1])
+}
+
+fn till_led(s: &mut Sim) -> Ms {
+    let from = s.now;
+    assert!(s.run_until(from + 10_000, |s| s.leader().is_some()));
+    s.now - from
+}
+
+fn die(s: &mut Sim) -> Ms {
+    (0..s.nodes.len()).for_each(|i| s.crash(i));
+    s.run_for(1000);
+    for i in 0..s.nodes.len() {
+        let wait = s.rng.below(60);
+        s.run_for(wait);
+        s.start(i);
+    }
+    till_led(s)
+}
+
+/// What the others hear when its process ends.
+fn end(s: &mut Sim, l: usize) {
+    s.crash(l);
+    let id = s.nodes[l].id;
+    (0..s.nodes.len()).for_each(|i| s.give(i, Event::Gone { id }));
+}
+
+#[test]
+fn cores_that_all_died_soon_have_a_leader() {
+    for (shape, far) in SITES {
+        let (mid, most) = spread(shape, far, die);
+        println!("all died, {shape:?} at {far} ms: median {mid} ms, most {most} ms");
+        assert!(mid < 400 && most < 900, "{shape:?} {far}: {mid} {most}");
+    }
+}
+
+#[test]
+fn a_leader_whose_process_ends_is_soon_replaced() {
+    for (shape, far) in SITES {
+        let (mid, most) = spread(shape, far, |s| {
+            let l = s.settle();
+            end(s, l);
+            till_led(s)
+        });
+        println!("leader killed, {shape:?} at {far} ms: median {mid} ms, most {most} ms");
+        assert!(mid < 500 && most < 1600, "{shape:?} {far}: {mid} {most}");
+    }
+}
+
+#[test]
+fn a_leader_that_is_silent_is_replaced() {
+    for (shape, far) in SITES {
+        let (mid, most) = spread(shape, far, |s| {
+            let l = s.settle();
+            s.isolate(l);
+            let from = s.now;
+            let other = |s: &Sim| {
+                let leads = |i: &usize| s.nodes[*i].agree.as_ref().map(|a| a.leads_globally());
+                (0..s.nodes.len()).any(|i| i != l && leads(&i) == Some(true))
+            };
+            assert!(s.run_until(from + 10_000, other));
+            let took = s.now - from;
+            s.heal();
+            took
+        });
+        println!("leader silent, {shape:?} at {far} ms: median {mid} ms, most {most} ms");
+        assert!(mid < 1300 && most < 2500, "{shape:?} {far}: {mid} {most}");
+    }
+}
+
+/// One that only lost its line to the leader, which goes on, unseats nobody.
+#[test]
+fn a_closed_line_alone_unseats_no_leader() {
+    for (seed, (shape, far)) in (0..).zip(SITES) {
+        let mut s = site(seed, shape, far);
+        let l = s.settle();
+        let id = s.nodes[l].id;
+        let other = (l + 1) % shape.len();
+        for _ in 0..20 {
+            s.give(other, Event::Gone { id });
+            s.run_for(100);
+            assert_eq!(s.leader(), Some(l), "{shape:?} {far}");
+        }
+        // and one that starts anew asks in vain
+        s.crash(other);
+        s.run_for(200);
+        s.start(other);
+        s.run_for(3000);
+        assert_eq!(s.leader(), Some(l), "{shape:?} {far}");
+        sound(&s);
+    }
+}
--- a/rig/tests/conformance/main.rs
+++ b/rig/tests/conformance/main.rs
@@ -2,6 +2,7 @@
 
 mod answers;
 mod elections;
+mod losses;
 
 use rig::sim::{check, Sim};
 use sorreldoor::agree::{Pace, Reg};
--- a/rig/tests/site/main.rs
+++ b/rig/tests/site/main.rs
@@ -9,6 +9,7 @@
 mod members;
 mod mutants;
 mod regions;
+mod returns;
 mod setups;
 mod swings;
 mod thrift;
--- a/sorreldoor/src/agree/accept.rs
+++ b/sorreldoor/src/agree/accept.rs
@@ -12,6 +12,7 @@
         let new = self.gl != Some(gl);
         self.gl = Some(gl);
         self.heard_gl = self.now;
+        self.suspect = false;
         self.round_from = self.round_from.max(round);
         self.reset_elect();
         self.unled = 0;
@@ -93,6 +94,7 @@
         self.save(Save::Append {
             from,
             entries: rest,
+            commit: self.commit,
         });
         if has || conf >= from {
             self.members_changed();
--- a/sorreldoor/src/agree/elect.rs
+++ b/sorreldoor/src/agree/elect.rs
@@ -67,14 +67,31 @@
             self.pump_domain(false);
         }
         if self.now >= self.elect_at {
-            self.reset_elect();
-            self.unled += 1;
+            self.soon_elect();
+            if self.now >= self.unled_at + self.pace.elect {
+                self.unled_at = self.now;
+                self.unled += 1;
+            }
             if self.is_voter() && self.may_stand() && !self.disk_stuck() {
                 self.sound_global();
             }
         }
     }
 
+    /// A core's last line was closed: its process has ended, or will be heard
+    /// of again soon.
+    pub(super) fn on_gone(&mut self, id: Nid) {
+        let soon = self.now + self.rand(self.pace.elect / 8);
+        if self.leads.get(&self.region()).is_some_and(|l| l.id == id) {
+            self.dled = false;
+            self.delect_at = self.delect_at.min(soon);
+        }
+        if self.gl == Some(id) {
+            self.suspect = true;
+            self.elect_at = self.elect_at.min(soon);
+        }
+    }
+
     /// A Domain Leader may stand; without one in its region, any core may.
     fn may_stand(&self) -> bool {
         let seen = self.leads.get(&self.region()).map_or(0, |l| l.seen);
@@ -113,7 +130,8 @@
     pub(super) fn on_domain_ask(&mut self, from: Nid, dterm: u64, last: Last, pre: bool) {
         let newer = last >= self.log.last();
         if pre {
-            let quiet = self.now.saturating_sub(self.heard_dl) >= self.pace.elect / 2;
+            let silent = self.now.saturating_sub(self.heard_dl) >= self.pace.elect / 2;
+            let quiet = (silent || !self.dled) && self.drole != Role::Lead;
             let yes = newer && quiet && dterm > self.hard.dterm && !self.disk_stuck();
             self.send_saved(from, Msg::DomainAns { dterm, yes, pre });
             return;
@@ -179,6 +197,7 @@
                 self.drole = Role::Follow;
             }
             self.heard_dl = self.now;
+            self.dled = true;
             self.reset_delect();
         }
         self.send_saved(from, Msg::DomainBack { dterm, sent });
@@ -198,8 +217,11 @@
     // --- global ---
 
     fn sound_global(&mut self) {
+        // why: asking again must not put off the waiver of the region rules
+        let since = Some(self.poll.since).filter(|_| self.role == Role::Sound);
         self.role = Role::Sound;
         self.poll = self.new_poll();
+        self.poll.since = since.unwrap_or(self.now);
         self.ask_global(self.hard.term + 1, true);
         self.check_polls();
     }
@@ -234,7 +256,8 @@
         self.role = Role::Stand;
         self.poll = self.new_poll();
         self.poll.seq = self.seq;
-        self.reset_elect();
+        let r = self.rand(self.pace.elect);
+        self.elect_at = self.now + self.pace.elect + r;
         self.ask_global(self.hard.term, false);
     }
 
@@ -250,9 +273,18 @@
         let leads = self.drole == Role::Lead;
         let mine = self.log.last();
         if pre {
-            let quiet = self.role != Role::Lead
-                && (self.gl.is_none() || self.now.saturating_sub(self.heard_gl) >= self.pace.elect);
-            let yes = newer && quiet && term > self.hard.term && !self.disk_stuck();
+            // why: of two that ask at once only one may go on, or they would
+            // split the votes again and again
+            let rival = match self.role {
+                Role::Sound => mine == last && self.me > from,
+                r => r == Role::Stand,
+            };
+            let free = newer && self.unheard() && !rival;
+            let yes = free && term > self.hard.term && !self.disk_stuck();
+            if yes && self.role == Role::Sound {
+                self.role = Role::Follow;
+                self.reset_elect();
+            }
             let term = if yes { term } else { self.hard.term };
             self.send_saved(
                 from,
--- a/sorreldoor/src/agree/node.rs
+++ b/sorreldoor/src/agree/node.rs
@@ -93,8 +93,14 @@
     pub(super) leads: BTreeMap<Reg, Lead>,
     pub(super) heard_gl: Ms,
     pub(super) heard_dl: Ms,
-    /// Election times that passed without word of a Global Leader.
+    /// The line to the Global Leader was closed, and it was not heard since.
+    pub(super) suspect: bool,
+    /// A Domain Leader of the own region was heard of, and is not known gone.
+    pub(super) dled: bool,
+    /// Election times that passed without word of a Global Leader, and when
+    /// the last was counted.
     pub(super) unled: u32,
+    pub(super) unled_at: Ms,
     pub(super) elect_at: Ms,
     pub(super) delect_at: Ms,
     pub(super) poll: Poll,
@@ -156,7 +162,10 @@
             leads: BTreeMap::new(),
             heard_gl: now,
             heard_dl: now,
+            suspect: false,
+            dled: false,
             unled: 0,
+            unled_at: now,
             elect_at: 0,
             delect_at: 0,
             poll: Poll::default(),
@@ -193,8 +202,10 @@
             out: Vec::new(),
         };
         a.judge_at = now + a.pace.tp;
-        a.reset_elect();
+        a.soon_elect();
         a.reset_delect();
+        // why: what was committed stays so, and need not wait for a leader
+        a.advance(a.hard.commit);
         a
     }
 
@@ -230,6 +241,7 @@
             Event::Alarm => self.alarm(),
             Event::Heard { from, msg } => self.heard(from, msg),
             Event::Saved { seq } => self.on_saved(seq),
+            Event::Gone { id } => self.on_gone(id),
             Event::SaveFailed => self.on_save_failed(),
             Event::Propose { pid, body } => self.ask(pid, body),
             Event::Read { rid } => self.look(rid),
--- a/sorreldoor/src/agree/replicate.rs
+++ b/sorreldoor/src/agree/replicate.rs
@@ -60,6 +60,7 @@
         self.save(Save::Append {
             from: idx,
             entries: vec![e],
+            commit: self.commit,
         });
         if is_conf {
             self.members_changed();
--- a/sorreldoor/src/agree/state.rs
+++ b/sorreldoor/src/agree/state.rs
@@ -104,13 +104,32 @@
     }
 
     pub(super) fn reset_elect(&mut self) {
-        let r = self.rand(self.pace.elect);
+        let r = self.rand(self.pace.elect / 2);
         self.elect_at = self.now + self.pace.elect + r;
     }
 
+    /// As `reset_elect`, but soon while no leader is heard of.
+    pub(super) fn soon_elect(&mut self) {
+        if !self.unheard() {
+            return self.reset_elect();
+        }
+        // why: it only asks whether others hear a leader, and unseats none
+        let span = self.pace.elect / 4;
+        self.elect_at = self.now + span + self.rand(span);
+    }
+
+    /// No Global Leader is heard of: in this life yet, for an election's time,
+    /// or since its line was closed.
+    pub(super) fn unheard(&self) -> bool {
+        let old = self.now.saturating_sub(self.heard_gl) >= self.pace.elect;
+        self.role != Role::Lead && (self.gl.is_none() || self.suspect || old)
+    }
+
     pub(super) fn reset_delect(&mut self) {
-        let r = self.rand(self.pace.elect / 2);
-        self.delect_at = self.now + self.pace.elect / 2 + r;
+        let half = self.pace.elect / 2;
+        // why: where no Domain Leader was heard of there is none to unseat
+        let span = if self.dled { half } else { half / 4 };
+        self.delect_at = self.now + span + self.rand(span);
     }
 
     pub(super) fn note(&mut self, n: Note) {
@@ -144,6 +163,7 @@
     }
 
     pub(super) fn save_hard(&mut self) {
+        self.hard.commit = self.commit;
         let h = self.hard.clone();
         self.save(Save::Hard(h));
     }
--- a/sorreldoor/src/agree/tally.rs
+++ b/sorreldoor/src/agree/tally.rs
@@ -52,7 +52,12 @@
             if self.role != Role::Lead {
                 self.rows.clear();
             }
+            self.dled = true;
             self.domain_beat();
+            if self.unheard() {
+                let soon = self.now + self.rand(self.pace.elect / 16);
+                self.elect_at = self.elect_at.min(soon);
+            }
         }
         if self.role == Role::Sound && self.elected() {
             self.stand_global();
--- a/sorreldoor/src/agree/types.rs
+++ b/sorreldoor/src/agree/types.rs
@@ -56,6 +56,9 @@
     pub vote: Option<Nid>,
     pub dterm: u64,
     pub dvote: Option<Nid>,
+    /// How far the log was known to be committed when this was kept.
+    #[serde(default)]
+    pub commit: u64,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -74,6 +77,9 @@
     Append {
         from: u64,
         entries: Vec<Entry>,
+        /// How far the log before these was known to be committed.
+        #[serde(default)]
+        commit: u64,
     },
     /// Forget the log up to the snapshot; `reset` forgets the rest too.
     Snap {
@@ -190,11 +196,25 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum Event {
     Alarm,
-    Heard { from: Nid, msg: Msg },
-    Saved { seq: u64 },
+    Heard {
+        from: Nid,
+        msg: Msg,
+    },
+    Saved {
+        seq: u64,
+    },
+    /// The last line to a core was closed by its other end.
+    Gone {
+        id: Nid,
+    },
     SaveFailed,
-    Propose { pid: Pid, body: Body },
-    Read { rid: u64 },
+    Propose {
+        pid: Pid,
+        body: Body,
+    },
+    Read {
+        rid: u64,
+    },
 }
 
 /// Why a proposal or a read ended without an outcome.
--- a/sorreldoor/src/core/duty.rs
+++ b/sorreldoor/src/core/duty.rs
@@ -58,6 +58,14 @@
         }
     }
 
+    /// A core without any list reads one itself: before there is a leader
+    /// nobody holds the duty.
+    pub(super) fn first_list(&mut self) {
+        if self.roster.is_none() && !self.leaving {
+            self.poll();
+        }
+    }
+
     /// A list that came: taken as it is where it has a number of its own; else
     /// numbered under the holder's epoch, if it says anything new.
     pub(super) fn listed(&mut self, r: Roster) {
@@ -66,6 +74,11 @@
         }
         self.poll.asked = None;
         if !self.on_duty() {
+            // why: below what any holder has ever numbered, above nothing
+            if self.roster.is_none() {
+                let (serial, workers) = (1, r.workers);
+                self.take_roster(Arc::new(Roster { serial, workers }));
+            }
             return;
         }
         let epoch = self.epoch();
--- a/sorreldoor/src/core/hub.rs
+++ b/sorreldoor/src/core/hub.rs
@@ -138,6 +138,7 @@
             self.members_alarm();
             self.duty_alarm();
         }
+        self.first_list();
         self.seats_alarm();
         self.claims_alarm();
         self.ping();
@@ -160,8 +161,12 @@
                 self.send(conn, Payload::Hello(hello));
             }
             NetEvent::Down { conn } => {
-                self.lines.remove(&conn);
+                let was = self.lines.remove(&conn).and_then(|l| l.hello);
                 self.unseat(conn);
+                let core = was.filter(|h| h.core && self.line_to(h.id).is_none());
+                if let Some(id) = core.map(|h| h.id) {
+                    self.agreed(Event::Gone { id });
+                }
             }
             NetEvent::Frame { conn, payload } => {
                 if let Some(l) = self.lines.get_mut(&conn) {
--- a/sorreldoor/src/edge/session.rs
+++ b/sorreldoor/src/edge/session.rs
@@ -95,7 +95,8 @@
 
     fn take_news(&mut self, n: News) {
         let was = self.plan.shown.view.serial;
-        if let Some(v) = n.record {
+        // why: an answer that was long on its way must not undo a newer one
+        if let Some(v) = n.record.filter(|v| v.rev > self.pull.have.record) {
             self.pull.have.record = v.rev;
             if !self.plan.take_view(v) {
                 self.say(Ev::SetupUnread, "");
--- a/sorreldoor/src/net.rs
+++ b/sorreldoor/src/net.rs
@@ -146,7 +146,8 @@
                     me.clone().run(s, Some((addr, d.clone()))).await;
                 }
                 task::sleep(Duration::from_millis(wait)).await;
-                wait = (wait * 2).min(500);
+                // why: where all start at once nobody should come late by this alone
+                wait = (wait * 2).min(200);
             }
         });
     }
--- a/sorreldoor/src/proxy/front.rs
+++ b/sorreldoor/src/proxy/front.rs
@@ -14,6 +14,9 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+/// After its first list of nodes one waits so long for the rest of it.
+const WHOLE_MS: Ms = 1000;
+
 #[derive(Debug)]
 pub enum FrontEvent {
     Alarm,
@@ -49,6 +52,11 @@
     pub leaving: bool,
     pub running: u32,
     pub now: Ms,
+    /// What cores were last told of it.
+    told_ready: bool,
+    /// The nodes, ready or not, and until when they are not thought whole.
+    all: Vec<(String, u16)>,
+    whole_at: Option<Ms>,
     out: Vec<FrontFx>,
 }
 
@@ -71,13 +79,10 @@
             FrontEvent::Stop => {
                 self.leaving = true;
                 self.say(Ev::Leaving, "edge");
-                // why: callers must be sent elsewhere before the door shuts
-                if let Some(c) = self.pull.conn {
-                    let f = self.pull.renew(c, self.now);
-                    self.pulled(f);
-                }
             }
         }
+        self.tell_ready();
+        self.count_nodes();
         std::mem::take(&mut self.out)
     }
 }
@@ -94,6 +99,9 @@
             leaving: false,
             running: 0,
             now: 0,
+            told_ready: false,
+            all: Vec::new(),
+            whole_at: None,
             out: Vec::new(),
         }
     }
@@ -107,12 +115,46 @@
         !self.leaving && self.table.hosted().is_some() && self.pull.have.roster > 0
     }
 
+    /// The ready nodes as this one knows them, with itself.
+    pub fn seen(&self) -> Vec<Seen> {
+        let me = Seen {
+            node: self.me.node.clone(),
+            addr: self.me.http.clone(),
+            zone: self.me.zone,
+            region: self.me.region,
+        };
+        let alone = self.ready() && self.nodes.iter().all(|n| n.node != me.node);
+        let mine = Some(me).filter(|_| alone);
+        self.nodes.iter().cloned().chain(mine).collect()
+    }
+
+    /// That it became ready, or is going down, is told at once.
+    fn tell_ready(&mut self) {
+        let ready = self.ready();
+        let conn = self.pull.conn.filter(|_| ready != self.told_ready);
+        // why: callers must be sent here as soon, and elsewhere before the
+        // door shuts
+        if let Some(c) = conn {
+            let f = self.pull.renew(c, self.now);
+            self.pulled(f);
+        }
+    }
+
+    /// Who shares the common bounds: once all had time to start, also those
+    /// that are not ready yet.
+    fn count_nodes(&mut self) {
+        if !self.all.is_empty() && self.whole_at.is_some_and(|t| self.now >= t) {
+            self.table.take_nodes(std::mem::take(&mut self.all));
+        }
+    }
+
     fn pulled(&mut self, f: PullFx) {
         match f {
             PullFx::Dial(a) => self.out.push(FrontFx::Dial(a)),
             PullFx::Undial(a) => self.out.push(FrontFx::Undial(a)),
             PullFx::Renew { conn, no, unproven } => {
                 let have = self.pull.have.clone();
+                self.told_ready = self.ready();
                 let doing = Doing {
                     serial: self.view.serial,
                     permit: self.ready(),
@@ -161,7 +203,8 @@
     }
 
     fn take_news(&mut self, n: News) {
-        if let Some(v) = n.record {
+        // why: an answer that was long on its way must not undo a newer one
+        if let Some(v) = n.record.filter(|v| v.rev > self.pull.have.record) {
             self.pull.have.record = v.rev;
             self.take_view(v);
         }
@@ -220,7 +263,7 @@
             region: p.region,
         };
         self.nodes = all.iter().filter(|p| p.ready).map(of).collect();
-        let names = self.nodes.iter().map(|s| (s.node.clone(), s.zone));
-        self.table.take_nodes(names.collect());
+        self.all = all.iter().map(|p| (p.node.clone(), p.zone)).collect();
+        self.whole_at.get_or_insert(self.now + WHOLE_MS);
     }
 }
--- a/sorreldoor/src/proxy/run.rs
+++ b/sorreldoor/src/proxy/run.rs
@@ -105,7 +105,7 @@
                     let f = sh.lock();
                     Shown {
                         ready: f.ready(),
-                        nodes: f.nodes.clone(),
+                        nodes: f.seen(),
                     }
                 };
                 (d.answer)(&shown, m, t)
--- a/sorreldoor/src/pull.rs
+++ b/sorreldoor/src/pull.rs
@@ -17,6 +17,13 @@
 const AGAIN_MS: Ms = 120;
 /// Between tries to come to a core of one's own region.
 const HOME_MS: Ms = 10_000;
+/// Between renewals, and silence of a core, while nothing is proved yet.
+const SOON_MS: Ms = 100;
+const SOON_SILENT: Ms = 500;
+/// A node is young, and has much to learn, for so long after its start.
+const YOUNG_MS: Ms = 1500;
+/// An unproved session looks for a core that can prove itself so often.
+const LOOK_MS: Ms = 800;
 
 #[derive(Clone, Debug)]
 pub struct Pull {
@@ -45,6 +52,8 @@
     unproven_after: Option<Ms>,
     /// A core has proved itself in this life.
     proved: bool,
+    /// Something unproved was taken.
+    lone: bool,
 }
 
 /// What came of a grant.
@@ -97,11 +106,15 @@
             began: now,
             unproven_after: None,
             proved: false,
+            lone: false,
         }
     }
 
     pub fn named(self, node: &str) -> Pull {
+        // why: not all need find the first seed dead when they start at once
+        let at = crate::place::mix(node, "seed") as usize % self.cores.len().max(1);
         Pull {
+            at,
             salt: node.to_string(),
             ..self
         }
@@ -119,7 +132,22 @@
 
     /// Silence after which a session counts as lost.
     fn silent(&self) -> Ms {
-        SILENT.max(self.renew_ms * 2 + 300)
+        if self.proved {
+            SILENT.max(self.renew_ms * 2 + 300)
+        } else {
+            SOON_SILENT
+        }
+    }
+
+    /// Between renewals: a node that has just started asks often.
+    fn every(&self, now: Ms) -> Ms {
+        let age = now.saturating_sub(self.began);
+        let soon = age < YOUNG_MS || (!self.proved && age < YOUNG_MS * 4);
+        if soon {
+            SOON_MS.min(self.renew_ms)
+        } else {
+            self.renew_ms
+        }
     }
 
     fn unproven(&self, now: Ms) -> bool {
@@ -181,12 +209,8 @@
             self.sent.remove(0);
         }
         let soon = self.left(now) < self.permit_ms / 2;
-        self.renew_at = now
-            + if soon {
-                AGAIN_MS.min(self.renew_ms)
-            } else {
-                self.renew_ms
-            };
+        let every = self.every(now);
+        self.renew_at = now + if soon { AGAIN_MS.min(every) } else { every };
         let (no, unproven) = (self.no, self.unproven(now));
         PullFx::Renew { conn, no, unproven }
     }
@@ -209,14 +233,21 @@
             return;
         }
         let away = self.dialled.as_ref().is_some_and(|a| !near(a));
-        if now < self.home_at || self.conn.is_none() || !away {
+        if now < self.home_at || self.conn.is_none() || !(away || self.lone) {
             return;
         }
+        // why: one that gives what it cannot prove may be cut off from a
+        // majority which others reach
+        let (every, wanted): (Ms, &dyn Fn(&&(SocketAddr, bool)) -> bool) = if self.lone {
+            (LOOK_MS, &|c| Some(c.0) != self.dialled)
+        } else {
+            (HOME_MS, &|c| c.1)
+        };
         // why: the first may be down for good, so each time another is tried
-        let nears: Vec<SocketAddr> = self.cores.iter().filter(|c| c.1).map(|c| c.0).collect();
-        let turn = (now / HOME_MS) as usize % nears.len().max(1);
-        if let Some(a) = nears.get(turn).copied() {
-            self.home_at = now + HOME_MS;
+        let all: Vec<SocketAddr> = self.cores.iter().filter(wanted).map(|c| c.0).collect();
+        let turn = (now / every) as usize % all.len().max(1);
+        if let Some(a) = all.get(turn).copied() {
+            self.home_at = now + every;
             self.trying = Some((a, now));
             out.push(PullFx::Dial(a));
         }
@@ -255,7 +286,10 @@
         }
         if self.dialled == Some(addr) {
             self.conn = Some(conn);
-            self.renew_at = now;
+            self.heard = now;
+            // why: what it lacks comes within one round trip
+            let ask = self.renew(conn, now);
+            out.push(ask);
         }
         out
     }
@@ -276,11 +310,15 @@
         self.sent.drain(..=i);
         let lone = !ok && self.unproven(now) && (some || self.have.record > 0);
         self.proved |= ok;
+        if lone && !self.lone {
+            self.home_at = now + LOOK_MS;
+        }
+        self.lone = lone || (self.lone && !ok);
         if ok || lone {
             self.heard = now;
             self.permit_until = self.permit_until.max(at + self.permit_ms);
             // why: what was sent to be sure is not needed any more
-            self.renew_at = self.renew_at.max(at + self.renew_ms);
+            self.renew_at = self.renew_at.max(at + self.every(now));
         } else {
             // why: a core without a quorum is no use for long; look on sooner
             self.heard = self.heard.min(now.saturating_sub(self.silent() / 2));
--- a/sorreldoor/src/store/mirror.rs
+++ b/sorreldoor/src/store/mirror.rs
@@ -34,8 +34,19 @@
         }
         self.seq = seq;
         match save {
-            Save::Hard(h) => self.hard = h.clone(),
-            Save::Append { from, entries } => {
+            Save::Hard(h) => {
+                let commit = self.hard.commit.max(h.commit);
+                self.hard = Hard {
+                    commit,
+                    ..h.clone()
+                };
+            }
+            Save::Append {
+                from,
+                entries,
+                commit,
+            } => {
+                self.hard.commit = self.hard.commit.max(*commit);
                 let n = from.saturating_sub(self.base().idx + 1) as usize;
                 self.entries.truncate(n);
                 self.entries.extend(entries.iter().cloned());
--- a/sorreldoor/src/store/wal.rs
+++ b/sorreldoor/src/store/wal.rs
@@ -233,7 +233,13 @@
             body: Body::Data(Arc::new(vec![seq as u8; 600])),
         };
         let entries = vec![e];
-        (seq, Save::Append { from: seq, entries })
+        let (from, commit) = (seq, 0);
+        let save = Save::Append {
+            from,
+            entries,
+            commit,
+        };
+        (seq, save)
     }
 
     fn write(d: &Path, n: u64) {
