--- a/sorreldoor/src/proxy/carry.rs
+++ b/sorreldoor/src/proxy/carry.rs
@@ -26,6 +26,7 @@
 const ANY_AGE: Duration = Duration::from_secs(3600);
 /// Silence at a worker is not taken for its end before this.
 const LEAST_PATIENCE: Ms = 400;
+const LEAST_SMALL: Ms = 150;
 /// Between looks at whether a silent worker is to be left.
 pub const LOOK: Ms = 100;
 
@@ -188,6 +189,7 @@
 async fn line_to<D: Dialect, C: Clock>(s: &Sending<'_, D, C>) -> Option<Line> {
     // why: what may run once must not go out where an old end may be on its way
     let within = if s.route.repeatable() { ANY_AGE } else { FRESH };
+    let within = if s.to.fresh { Duration::ZERO } else { within };
     if let Some(l) = s.sh.pool.take(s.to.worker, within) {
         return Some(l);
     }
@@ -272,8 +274,16 @@
     line: &mut Line,
 ) -> Result<Head, Heard> {
     let aim = Some(s.route.aim_ms).filter(|a| *a > 0);
-    let patience = aim.map_or(Ms::MAX / 2, |a| a.max(LEAST_PATIENCE));
-    let mut until = s.now().saturating_add(patience);
+    let small = s.route.kind == Kind::Idempotent;
+    // why: a small answer that is lost is best asked for again while that is in time
+    let (num, least) = if small {
+        (6, LEAST_SMALL)
+    } else {
+        (10, LEAST_PATIENCE)
+    };
+    let patience = aim.map_or(Ms::MAX / 4, |a| (a * num / 10).max(least));
+    let since = s.now();
+    let mut until = since.saturating_add(patience);
     loop {
         match take_answer(&mut line.buf) {
             Ok(Some(h)) if (100..200).contains(&h.status) => continue,
@@ -286,8 +296,10 @@
             return Err(Heard::Broke);
         }
         if now >= until {
-            // why: only if another may take it is it worth leaving this one
-            if s.may_move(patience) {
+            // why: only if another may take it is it worth leaving this one; a
+            // worker that speaks to others is slow, but not for twice as long
+            let slow = small || now >= since.saturating_add(2 * patience);
+            if s.may_move(if slow { 0 } else { patience }) {
                 return Err(Heard::Broke);
             }
             until = now + LOOK;
--- a/sorreldoor/src/proxy/stream.rs
+++ b/sorreldoor/src/proxy/stream.rs
@@ -98,8 +98,9 @@
     let mut first = true;
     // why: a pause shorter than what makes it late gives no reason to move
     let gap = Some(s.route.gap_ms).filter(|g| *g > 0 && s.route.resume);
-    let gap = gap.map_or(Ms::MAX / 2, |g| g.max(LEAST_GAP));
-    let mut until = s.now().saturating_add(gap);
+    let gap = gap.map_or(Ms::MAX / 4, |g| g.max(LEAST_GAP));
+    let mut heard = s.now();
+    let mut until = heard.saturating_add(gap);
     loop {
         let whole = match d.run(&mut line.buf, &mut got) {
             Ok(w) => w,
@@ -122,7 +123,8 @@
             if std::mem::take(&mut first) {
                 s.heard(Heard::First);
             }
-            until = s.now().saturating_add(gap);
+            heard = s.now();
+            until = heard.saturating_add(gap);
         }
         if whole {
             give_back(s, line, &head, &d);
@@ -134,7 +136,9 @@
             return broke(s, line, Heard::Left);
         }
         if now >= until {
-            if s.may_move(gap) {
+            // why: a worker that speaks to others is slow, but not for twice as long
+            let slow = now >= heard.saturating_add(2 * gap);
+            if s.may_move(if slow { 0 } else { gap }) {
                 return broke(s, line, Heard::Broke);
             }
             until = now + LOOK;
--- a/sorreldoor/src/proxy/table/mod.rs
+++ b/sorreldoor/src/proxy/table/mod.rs
@@ -36,6 +36,8 @@
     pub priority: Option<u8>,
     /// Connections this node may hold to the worker.
     pub max_conns: u32,
+    /// Only on a new connection, which proves that the worker is there.
+    pub fresh: bool,
 }
 
 /// What to do with a request now.
--- a/sorreldoor/src/proxy/table/pick.rs
+++ b/sorreldoor/src/proxy/table/pick.rs
@@ -12,6 +12,8 @@
 
 /// With less time left nothing is sent any more, in milliseconds.
 const TOO_LATE: Ms = 5;
+/// A worker heard of within so many milliseconds is there.
+const KNOWN: Ms = 200;
 /// When to come back after a refusal, in milliseconds.
 const AGAIN: (Ms, Ms) = (100, 400);
 
@@ -133,7 +135,7 @@
     pub fn pulse(&mut self, rid: Rid, now: Ms) {
         let s = self.reqs.get(rid).and_then(|r| r.sending);
         if let Some(w) = s.and_then(|s| self.spots[s.spot as usize].as_mut()) {
-            w.pulse = w.pulse.max(now);
+            w.beat(now);
         }
     }
 
@@ -190,7 +192,10 @@
         let Some(w) = self.spots[c.spot as usize].as_mut() else {
             return Pick::Refuse(Problem::GivenUp, 0);
         };
+        // why: what may run once goes out only where the worker is known to be
+        let fresh = w.suspect(now) || (!route.repeatable() && now >= w.pulse + KNOWN);
         w.mine += 1;
+        w.unheard.get_or_insert(now);
         w.note_sent(now);
         w.reading += u64::from(c.reading);
         if let Some(e) = engine {
@@ -226,6 +231,7 @@
             left_ms: r.deadline.saturating_sub(now),
             priority: engine.map(|_| route.priority.min(9)),
             max_conns: 1,
+            fresh,
         };
         let key = w.hash;
         Pick::Go(Target {
--- a/sorreldoor/src/proxy/table/rank.rs
+++ b/sorreldoor/src/proxy/table/rank.rs
@@ -217,11 +217,16 @@
                 + zone
                 + far
                 + shun
+                + if w.suspect(now) { 4.0 * SHUN } else { 0.0 }
                 + 6.0 * noise
                 + cold
         } else {
             let zone = if near { 0.0 } else { 0.25 };
-            w.slow * f + zone + 0.05 * noise + if cold { 0.2 } else { 0.0 }
+            w.slow * f
+                + zone
+                + 0.05 * noise
+                + if cold { 0.2 } else { 0.0 }
+                + if w.suspect(now) { 0.5 } else { 0.0 }
         };
         // why: what is due for a trial comes back by one, a light one if it can
         let trial = l.tokens <= LIGHT;
--- a/sorreldoor/src/proxy/table/reqs.rs
+++ b/sorreldoor/src/proxy/table/reqs.rs
@@ -71,7 +71,7 @@
 }
 
 /// Requests by id; an id is never used again.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(super) struct Reqs {
     rows: Vec<(u32, Option<Box<Req>>)>,
     free: Vec<u32>,
@@ -276,6 +276,7 @@
             return;
         };
         w.mine = w.mine.saturating_sub(1);
+        w.unheard = w.unheard.filter(|_| w.mine > 0);
         if !s.began {
             w.reading = w.reading.saturating_sub(u64::from(s.reading));
         }
--- a/sorreldoor/src/proxy/table/spot.rs
+++ b/sorreldoor/src/proxy/table/spot.rs
@@ -13,6 +13,8 @@
 const FRESH: Ms = 1000;
 /// A worker that said that it is full gets nothing for so long.
 pub const FULL: Ms = 100;
+/// A worker that owes a word for so long may be gone, in milliseconds.
+const SUSPECT: Ms = 300;
 /// Sending times remembered of one worker, at most.
 const MOST_SENT: usize = 256;
 
@@ -36,6 +38,8 @@
     pub heavy: bool,
     /// When anything was last heard of it.
     pub pulse: Ms,
+    /// Since when this node waits for it to say anything at all.
+    pub unheard: Option<Ms>,
     /// Requests of this node that are there.
     pub mine: u32,
     /// Requests of others there, as of `heard`.
@@ -67,6 +71,7 @@
             slots: 0,
             heavy: false,
             pulse: 0,
+            unheard: None,
             mine: 0,
             others: 0.0,
             heard: 0,
@@ -84,6 +89,17 @@
         now < self.cold_until
     }
 
+    /// Something came of it.
+    pub fn beat(&mut self, now: Ms) {
+        self.pulse = self.pulse.max(now);
+        self.unheard = Some(now).filter(|_| self.mine > 0);
+    }
+
+    /// It owes this node a word for so long that it may be gone.
+    pub fn suspect(&self, now: Ms) -> bool {
+        self.unheard.is_some_and(|t| now >= t + SUSPECT)
+    }
+
     /// Running and waiting there, as far as is known.
     pub fn load(&self, now: Ms) -> f64 {
         let age = now.saturating_sub(self.heard);
--- a/sorreldoor/src/proxy/table/state.rs
+++ b/sorreldoor/src/proxy/table/state.rs
@@ -58,7 +58,7 @@
     pub read: u64,
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Table {
     pub(super) place: Place,
     pub(super) bounds: Bounds,
--- a/sorreldoor/tests/table.rs
+++ b/sorreldoor/tests/table.rs
@@ -17,6 +17,8 @@
 mod nodes;
 #[path = "table/rules.rs"]
 mod rules;
+#[path = "table/silence.rs"]
+mod silence;
 #[path = "table/spots.rs"]
 mod spots;
 
