--- a/rig/src/emul/check.rs
+++ b/rig/src/emul/check.rs
@@ -4,7 +4,14 @@
 
 /// Every broken rule of a run that is over; the first case of each kind.
 pub fn check(w: &World) -> Vec<String> {
-    let mut out: BTreeSet<String> = w.wrong.clone();
+    let kind = |s: &String| s.split(':').next().map(str::to_string);
+    let mut seen: HashMap<Option<String>, u32> = HashMap::new();
+    let few = |s: &&String| {
+        let n = seen.entry(kind(s)).or_default();
+        *n += 1;
+        *n <= 3
+    };
+    let mut out: BTreeSet<String> = w.wrong.iter().filter(few).cloned().collect();
     let parts: [fn(&World) -> Vec<String>; 7] = [runs, homes, zones, drains, routes, ends, budgets];
     for f in parts {
         out.extend(f(w).into_iter().take(3));
@@ -33,6 +40,16 @@
         }
     }
 
+    /// The caller's patience is over: by then a node has sent it, or refused it.
+    pub(super) fn judge_held(&mut self, t: usize) {
+        let x = &self.tries[t];
+        if x.sends == 0 && self.in_touch(x.node, self.now) {
+            let (c, ms) = (&self.class(t).name, x.sent / 1000);
+            let s = format!("END: {c} try of {ms} ms was held and never sent");
+            self.wrong.insert(s);
+        }
+    }
+
     /// Services that may run a request sent at `at`, as of `now`.
     fn allowed(&self, class: usize, at: Us, now: Us) -> Vec<usize> {
         let span = us(self.mix.bounds.apply_ms as f64);
@@ -157,7 +174,6 @@
     if left > 0 {
         out.push(format!("END: engines hold {left}"));
     }
-    // why: a request is answered by its deadline, or its caller has gone
     out
 }
 
--- a/rig/src/emul/client.rs
+++ b/rig/src/emul/client.rs
@@ -222,6 +222,7 @@
             return self.push(at, Ev::Patience(t));
         }
         let (n, life) = (tr.node, tr.life);
+        self.judge_held(t);
         self.tries[t].over = true;
         let gone = self.now + us(self.mix.client_ms);
         self.push(gone, Ev::Gone(n, life, t));
