Experiment: policies of placement against each other on the same mixes

Cause: rules of placement were to be compared without the users' kit. Ruled out: sharing one generator for asks and workers (policies were asked different things).

--- a/rig/src/emul/mod.rs
+++ b/rig/src/emul/mod.rs
@@ -134,6 +134,8 @@
 pub struct World {
     pub(crate) now: Us,
     pub(crate) rng: Rand,
+    /// For what is asked alone, so that all policies are asked the same.
+    pub(crate) asking: Rand,
     pub(crate) mix: Arc<Mix>,
     pub(crate) rule: Rule,
     pub(crate) seed: u64,
@@ -173,6 +175,7 @@
         let mut w = World {
             now: 0,
             rng: Rand::new(seed),
+            asking: Rand::new(seed ^ 0xa5_0000),
             rule,
             seed,
             nodes: Vec::new(),
--- a/rig/src/emul/news.rs
+++ b/rig/src/emul/news.rs
@@ -105,6 +105,7 @@
                 frozen: 0,
                 rough: Vec::new(),
                 has: (false, false),
+                news: 0,
                 policy,
                 jobs: Default::default(),
                 by_try: HashMap::new(),
@@ -143,8 +144,11 @@
     fn tell(&mut self, i: usize, n: News) {
         let ms = self.mix.news_ms;
         let at = self.now + us((ms + self.rng.below(ms + 1)) as f64);
-        let life = self.nodes[i].life;
-        if self.nodes[i].up {
+        // why: a node's session brings news in the order that they were made
+        let x = &mut self.nodes[i];
+        x.news = x.news.max(at);
+        let (at, life) = (x.news, x.life);
+        if x.up {
             self.push(at, Ev::News(i, life, n));
         }
     }
--- /dev/null
+++ b/rig/src/experiment.rs
@@ -0,0 +1,234 @@
+//! Policies of placement against each other, on the same mixes and seeds.
+
+use crate::emul::{check, desk, storm, wide, Mix, Rule, Tally, World};
+use gumdrop::Options;
+use plotters::prelude::*;
+use std::path::{Path, PathBuf};
+
+#[derive(Debug, Options)]
+pub struct Args {
+    #[options(help = "show this help")]
+    help: bool,
+    #[options(help = "desk, wide, or a JSON file of a mix", default = "desk")]
+    mix: String,
+    #[options(help = "times the rates of the mix", meta = "X", default = "1")]
+    load: f64,
+    #[options(no_short, help = "seconds of asking; 0: the mix's own", default = "0")]
+    seconds: f64,
+    #[options(help = "seeds, from 0 on", meta = "N", default = "3")]
+    n: u64,
+    #[options(no_short, help = "the first seed", meta = "SEED", default = "0")]
+    from: u64,
+    #[options(help = "troubles drawn from each seed", meta = "N", default = "0")]
+    troubles: usize,
+    #[options(
+        no_short,
+        help = "a burst of so many times the rate, 8 s long",
+        default = "1"
+    )]
+    burst: f64,
+    #[options(no_short, help = "the table alone")]
+    table: bool,
+    #[options(no_short, help = "list requests that were not served")]
+    unserved: bool,
+    #[options(help = "plot of time to the first event", meta = "FILE.svg")]
+    plot: Option<PathBuf>,
+}
+
+/// What one policy came to over all seeds.
+struct Row {
+    name: &'static str,
+    t: Tally,
+    wrong: Vec<String>,
+    worst: f64,
+}
+
+fn mix(a: &Args) -> Result<Mix, String> {
+    let mut m = match a.mix.as_str() {
+        "desk" => desk(),
+        "wide" => wide(),
+        f => {
+            let mut b = std::fs::read(f).map_err(|e| format!("{f}: {e}"))?;
+            simd_json::serde::from_slice(&mut b).map_err(|e| format!("{f}: {e}"))?
+        }
+    };
+    m.load *= a.load;
+    if a.seconds > 0.0 {
+        m.seconds = a.seconds;
+    }
+    if a.burst > 1.0 {
+        m.troubles.push(crate::emul::Trouble {
+            kind: "burst".into(),
+            at_s: m.seconds / 3.0,
+            for_s: 8.0,
+            x: a.burst,
+            ..Default::default()
+        });
+    }
+    Ok(m)
+}
+
+fn play(a: &Args, m: &Mix, rule: Rule) -> Row {
+    let mut r = Row {
+        name: rule.name(),
+        t: Tally::default(),
+        wrong: Vec::new(),
+        worst: 1.0,
+    };
+    for seed in a.from..a.from + a.n {
+        let mut m = m.clone();
+        m.troubles.extend(storm(seed, &m, a.troubles));
+        let w = World::new(seed, m, rule).run();
+        let t = w.tally();
+        if a.unserved {
+            w.unserved()
+                .iter()
+                .for_each(|u| println!("seed {seed}: {u}"));
+        }
+        let found = check(&w);
+        r.wrong
+            .extend(found.iter().map(|x| format!("seed {seed}: {x}")));
+        r.worst = r.worst.min(t.worst(3));
+        r.t.add(t);
+    }
+    r.t.sort();
+    r
+}
+
+/// Plays every policy and prints a table; false if the product's table broke a rule.
+pub fn run(a: &Args) -> Result<bool, String> {
+    let m = mix(a)?;
+    let rules: &[Rule] = match a.table {
+        true => &[Rule::Table],
+        false => &[Rule::Table, Rule::RoundRobin, Rule::LeastLoad],
+    };
+    let rows: Vec<Row> = rules.iter().map(|r| play(a, &m, *r)).collect();
+    let workers: u32 = m.services[0].workers.iter().sum();
+    let nodes: u32 = m.nodes.iter().sum();
+    println!(
+        "{workers} workers of {} slots, {nodes} nodes, {} s, seeds {} to {}, load {}, {} troubles",
+        m.services[0].slots,
+        m.seconds,
+        a.from,
+        a.from + a.n - 1,
+        a.load,
+        a.troubles
+    );
+    let head = [
+        "policy",
+        "asked",
+        "served %",
+        "late %",
+        "worst 3 s %",
+        "first p50",
+        "p95",
+        "p99 ms",
+        "pause p99",
+        "worst ms",
+        "reread k",
+        "zone %",
+        "region %",
+        "again",
+        "refused",
+        "idle",
+        "slow",
+        "put back",
+        "conns",
+        "rules",
+    ];
+    println!("| {} |", head.join(" | "));
+    println!("|{}", " --- |".repeat(head.len()));
+    rows.iter()
+        .for_each(|r| println!("| {} |", cells(r).join(" | ")));
+    for r in &rows {
+        let k: Vec<String> =
+            r.t.kinds()
+                .iter()
+                .map(|(n, s, l)| format!("{n} {s:.2}/{l:.2}"))
+                .collect();
+        println!("{}: served/in time % {}", r.name, k.join(", "));
+        let why =
+            r.t.why
+                .iter()
+                .map(|(k, n)| format!("{k} {} ({} idle)", n.0, n.1));
+        println!(
+            "{}: own answers: {}",
+            r.name,
+            why.collect::<Vec<_>>().join(", ")
+        );
+    }
+    for r in &rows {
+        r.wrong
+            .iter()
+            .take(12)
+            .for_each(|w| println!("{}: {w}", r.name));
+    }
+    if let Some(p) = &a.plot {
+        plot(p, &rows).map_err(|e| e.to_string())?;
+    }
+    Ok(rows[0].wrong.is_empty())
+}
+
+fn cells(r: &Row) -> Vec<String> {
+    let t = &r.t;
+    let of = |a: u64, b: u64| format!("{:.2}", 100.0 * a as f64 / b.max(1) as f64);
+    let sends = t.here + t.zones + t.regions;
+    vec![
+        r.name.to_string(),
+        t.asked.to_string(),
+        of(t.served, t.asked),
+        of(t.late, t.served),
+        format!("{:.1}", 100.0 * r.worst),
+        format!("{:.0}", t.first_at(0.5)),
+        format!("{:.0}", t.first_at(0.95)),
+        format!("{:.0}", t.first_at(0.99)),
+        format!("{:.0}", t.pause_at(0.99)),
+        format!("{:.0}", t.pause),
+        (t.reread / 1000).to_string(),
+        of(t.zones, sends),
+        of(t.regions, sends),
+        t.retries.to_string(),
+        t.refusals.to_string(),
+        t.idle_refusals.to_string(),
+        t.late_refusals.to_string(),
+        t.put_back.to_string(),
+        t.conns.to_string(),
+        r.wrong.len().to_string(),
+    ]
+}
+
+type Drawn = Result<(), Box<dyn std::error::Error>>;
+
+/// Share of all requests whose first event came within a time.
+fn plot(to: &Path, rows: &[Row]) -> Drawn {
+    let root = SVGBackend::new(to, (900, 520)).into_drawing_area();
+    root.fill(&WHITE)?;
+    let most = rows
+        .iter()
+        .map(|r| r.t.first_at(0.999))
+        .fold(100.0, f64::max);
+    let mut c = ChartBuilder::on(&root)
+        .caption("first event within", ("sans-serif", 18))
+        .margin(12)
+        .x_label_area_size(36)
+        .y_label_area_size(48)
+        .build_cartesian_2d((10.0..most).log_scale(), 0.0..1.0)?;
+    c.configure_mesh()
+        .x_desc("ms")
+        .y_desc("share of all asked")
+        .draw()?;
+    for (i, r) in rows.iter().enumerate() {
+        let color = [BLUE, RED, BLACK][i % 3];
+        let n = r.t.asked.max(1) as f64;
+        let each = (1..=200).map(|k| f64::from(k) / 200.0);
+        let at: Vec<(f64, f64)> = each
+            .map(|q| (r.t.first_at(q * 0.999), q * r.t.served as f64 / n))
+            .collect();
+        c.draw_series(LineSeries::new(at, color))?
+            .label(r.name)
+            .legend(move |(x, y)| PathElement::new([(x, y), (x + 16, y)], color));
+    }
+    c.configure_series_labels().border_style(BLACK).draw()?;
+    root.present()?;
+    Ok(())
+}
--- a/rig/src/lib.rs
+++ b/rig/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod disk;
 pub mod emul;
+pub mod experiment;
 mod feed;
 pub mod fleet;
 mod hands;
--- a/rig/src/main.rs
+++ b/rig/src/main.rs
@@ -21,6 +21,8 @@
     Soak(SoakArgs),
     #[options(help = "one node whose clock and disk misbehave as a file says")]
     Node(NodeArgs),
+    #[options(help = "policies of placement compared in virtual time")]
+    Experiment(rig::experiment::Args),
 }
 
 #[derive(Debug, Options)]
@@ -78,6 +80,13 @@
                 std::process::exit(1);
             }
         }
+        Some(What::Experiment(a)) => match rig::experiment::run(&a) {
+            Ok(whole) => std::process::exit(i32::from(!whole)),
+            Err(e) => {
+                eprintln!("rig: {e}");
+                std::process::exit(2);
+            }
+        },
         None => {
             eprintln!("rig: say what to run: fleet; see --help");
             std::process::exit(2);
