--- a/sorreldoor/src/pull.rs
+++ b/sorreldoor/src/pull.rs
@@ -238,10 +238,13 @@
         }
         // why: one that gives what it cannot prove may be cut off from a
         // majority which others reach
-        let (every, wanted): (Ms, &dyn Fn(&&(SocketAddr, bool)) -> bool) = if self.lone {
-            (LOOK_MS, &|c| Some(c.0) != self.dialled)
-        } else {
-            (HOME_MS, &|c| c.1)
+        let every = if self.lone { LOOK_MS } else { HOME_MS };
+        let wanted = |c: &&(SocketAddr, bool)| {
+            if self.lone {
+                Some(c.0) != self.dialled
+            } else {
+                c.1
+            }
         };
         // why: the first may be down for good, so each time another is tried
         let all: Vec<SocketAddr> = self.cores.iter().filter(wanted).map(|c| c.0).collect();
