--- a/sorreldoor/src/proxy/carry.rs
+++ b/sorreldoor/src/proxy/carry.rs
@@ -1,9 +1,12 @@
 //! One request to a worker and its answer back: sendings one after the other
 //! as the table says, until the caller has its answer or there is none.
 
+use super::answer::plain;
+use super::body::Decoder;
 use super::client::Client;
 use super::dialect::{Dialect, Forward, Told};
-use super::http1::{take_answer, Decoder, Head};
+use super::http1::{take_answer, Head};
+use super::listen::{listen, Woke};
 use super::pool::{Line, FRESH};
 use super::shared::Shared;
 use super::stream::{relay, Flow};
@@ -49,38 +52,6 @@
     Again,
 }
 
-/// What woke a wait for a worker's bytes.
-pub enum Woke {
-    Read,
-    Broke,
-    Gone,
-    Late,
-}
-
-/// Waits for bytes of a worker, for the caller to hang up, or for the time.
-pub async fn listen(line: &mut Line, c: Option<&Client>, ms: Ms) -> Woke {
-    let read = async {
-        match line.buf.fill(&mut line.s).await {
-            Ok(n) if n > 0 => Woke::Read,
-            _ => Woke::Broke,
-        }
-    };
-    let late = async {
-        sleep(Duration::from_millis(ms)).await;
-        Woke::Late
-    };
-    match c {
-        None => or(read, late).await,
-        Some(c) => {
-            let gone = async {
-                c.gone().await;
-                Woke::Gone
-            };
-            or(read, or(gone, late)).await
-        }
-    }
-}
-
 /// One sending under way.
 pub struct Sending<'a, D, C> {
     pub sh: &'a Shared<D, C>,
@@ -420,51 +391,3 @@
         s.drop_line(line);
     }
 }
-
-/// The worker's head as it goes to the caller, without the empty line.
-pub fn head_out(head: &Head) -> Vec<u8> {
-    let first = head.raw.split(|b| *b == b'\r').next().unwrap_or(&[]);
-    let rest = first.split(|b| *b == b' ').skip(1);
-    let mut b = b"HTTP/1.1".to_vec();
-    for w in rest {
-        b.push(b' ');
-        b.extend_from_slice(w);
-    }
-    b.extend_from_slice(b"\r\n");
-    for (n, v) in head.iter().filter(|(n, _)| !head.hop(n)) {
-        b.extend_from_slice(n.as_bytes());
-        b.extend_from_slice(b": ");
-        b.extend_from_slice(v);
-        b.extend_from_slice(b"\r\n");
-    }
-    b
-}
-
-/// A whole answer as it goes to the caller.
-fn plain(c: &Client, head: &Head, body: &[u8]) -> Vec<u8> {
-    let mut b = head_out(head);
-    if !matches!(head.status, 204 | 304) {
-        b.extend_from_slice(format!("Content-Length: {}\r\n", body.len()).as_bytes());
-    }
-    if c.close {
-        b.extend_from_slice(b"Connection: close\r\n");
-    }
-    b.extend_from_slice(b"\r\n");
-    b.extend_from_slice(body);
-    b
-}
-
-/// The framing of a stream to the caller.
-pub fn stream_head(c: &mut Client, head: &Head) -> Vec<u8> {
-    let mut b = head_out(head);
-    if c.old {
-        c.close = true;
-    } else {
-        b.extend_from_slice(b"Transfer-Encoding: chunked\r\n");
-    }
-    if c.close {
-        b.extend_from_slice(b"Connection: close\r\n");
-    }
-    b.extend_from_slice(b"\r\n");
-    b
-}
--- a/sorreldoor/src/proxy/client.rs
+++ b/sorreldoor/src/proxy/client.rs
@@ -1,9 +1,10 @@
 //! A caller's connection: requests read whole within the operator's limits,
 //! one after the other, each answered before the next.
 
+use super::body::body;
 use super::carry::{carry, Job};
 use super::dialect::{Asked, Dialect};
-use super::http1::{body, take_request, Buf, Fault, Framing, Head};
+use super::http1::{take_request, Buf, Fault, Framing, Head};
 use super::shared::Shared;
 use crate::problem::Problem;
 use crate::seam::Clock;
--- a/sorreldoor/src/proxy/door.rs
+++ b/sorreldoor/src/proxy/door.rs
@@ -1,7 +1,8 @@
 //! Small doors beside the callers' one: a question in a target, an answer in
 //! a few bytes, and nothing kept in between.
 
-use super::http1::{body, take_request, Buf, Framing};
+use super::body::body;
+use super::http1::{take_request, Buf, Framing};
 use async_std::future::timeout;
 use async_std::io::prelude::WriteExt;
 use async_std::net::{TcpListener, TcpStream};
--- a/sorreldoor/src/proxy/mod.rs
+++ b/sorreldoor/src/proxy/mod.rs
@@ -1,12 +1,15 @@
 //! Hosted routes carried to workers: requests pass byte for byte, decisions
 //! are the table's, and names of headers are a dialect's.
 
+mod answer;
+pub mod body;
 mod carry;
 mod client;
 pub mod dialect;
 mod door;
 mod front;
 pub mod http1;
+mod listen;
 mod plain;
 mod pool;
 mod run;
--- a/sorreldoor/src/proxy/stream.rs
+++ b/sorreldoor/src/proxy/stream.rs
@@ -1,10 +1,13 @@
 //! Streams of events: passed on as they come, taken up at another worker
 //! where the route allows, and never made to look finished when they are not.
 
-use super::carry::{give_back, listen, stream_head, Sending, Sent, Woke, LOOK};
+use super::answer::stream_head;
+use super::body::Decoder;
+use super::carry::{give_back, Sending, Sent, LOOK};
 use super::client::Client;
 use super::dialect::Dialect;
-use super::http1::{Decoder, Framing, Head};
+use super::http1::{Framing, Head};
+use super::listen::{listen, Woke};
 use super::pool::Line;
 use super::table::Heard;
 use crate::agree::Ms;
--- a/sorreldoor/src/proxy/table/pick.rs
+++ b/sorreldoor/src/proxy/table/pick.rs
@@ -119,8 +119,8 @@
         let late = r.deadline < now + TOO_LATE;
         let here = r.sending.and_then(|s| self.spots[s.spot as usize].as_ref());
         // why: a worker that speaks to others is slow, not gone
-        let dead = |w: &&Box<Spot>| silent == 0 || w.pulse + silent <= now;
-        let Some(w) = here.filter(|w| !spent && !late && dead(w)) else {
+        let dead = |w: &Spot| silent == 0 || w.pulse + silent <= now;
+        let Some(w) = here.filter(|w| !spent && !late && dead(w.as_ref())) else {
             return false;
         };
         let svc = w.service;
--- a/sorreldoor/tests/http1.rs
+++ b/sorreldoor/tests/http1.rs
@@ -5,6 +5,7 @@
 use async_std::io::WriteExt;
 use async_std::net::{TcpListener, TcpStream};
 use async_std::task;
+use sorreldoor::proxy::body::*;
 use sorreldoor::proxy::http1::*;
 
 /// Both ends of a connection on this machine.
--- a/sorreldoor/tests/proxy/harness.rs
+++ b/sorreldoor/tests/proxy/harness.rs
@@ -4,6 +4,7 @@
 use async_std::io::WriteExt;
 use async_std::net::{TcpListener, TcpStream};
 use async_std::task;
+use sorreldoor::proxy::body::*;
 use sorreldoor::proxy::http1::*;
 use sorreldoor::proxy::table::{Bounds, Place, Table};
 use sorreldoor::proxy::{accept, Front, Plain, Shared};
--- a/sorreldoor/tests/table/rules.rs
+++ b/sorreldoor/tests/table/rules.rs
@@ -2,6 +2,9 @@
 
 use super::*;
 
+/// What is tried, the list, the emptied zones, and the worker that must take it.
+type Case = (&'static str, Vec<Worker>, Vec<u16>, Option<&'static str>);
+
 #[test]
 fn no_setup_and_no_route() {
     let mut t = Table::new(place("n0", 0), bounds(), 7);
@@ -130,7 +133,7 @@
     let mut home = route("home", "/home/", Kind::Idempotent, 1);
     home.homes = vec![1];
     let h = hosted(vec![home, route("web", "/web/", Kind::Idempotent, 1)]);
-    let cases: Vec<(&str, Vec<Worker>, Vec<u16>, Option<&str>)> = vec![
+    let cases: Vec<Case> = vec![
         (
             "/web/",
             vec![leaving(w("a", 0)), w("b", 0)],
@@ -261,7 +264,7 @@
     for now in (0..60_000).step_by(3) {
         draw = draw.wrapping_mul(6364136223846793005).wrapping_add(99);
         let x = draw >> 33;
-        if x % 3 == 0 && !open.is_empty() {
+        if x.is_multiple_of(3) && !open.is_empty() {
             let r = open.swap_remove((x / 3) as usize % open.len());
             t.heard(r, Heard::Done(200), now);
             t.end(r, now);
