--- a/rig/src/lib.rs
+++ b/rig/src/lib.rs
@@ -1,6 +1,8 @@
 //! Stand-ins, fleet runner and simulator for sorreldoor; never shipped.
 
 pub mod disk;
+pub mod emul;
+pub mod experiment;
 mod feed;
 pub mod fleet;
 mod hands;
--- a/rig/src/main.rs
+++ b/rig/src/main.rs
@@ -35,6 +35,8 @@
     Node(NodeArgs),
     #[options(help = "a site of hollow nodes in virtual time: what control costs, and slopes")]
     Hollow(HollowArgs),
+    #[options(help = "policies of placement compared in virtual time")]
+    Experiment(rig::experiment::Args),
 }
 
 #[derive(Debug, Options)]
@@ -98,6 +100,13 @@
                 std::process::exit(2);
             }
         }
+        Some(What::Experiment(a)) => match rig::experiment::run(&a) {
+            Ok(whole) => std::process::exit(i32::from(!whole)),
+            Err(e) => {
+                eprintln!("rig: {e}");
+                std::process::exit(2);
+            }
+        },
         None => {
             eprintln!("rig: say what to run: fleet; see --help");
             std::process::exit(2);
--- a/sorreldoor/src/proxy/carry.rs
+++ b/sorreldoor/src/proxy/carry.rs
@@ -1,9 +1,12 @@
 //! One request to a worker and its answer back: sendings one after the other
 //! as the table says, until the caller has its answer or there is none.
 
+use super::answer::plain;
+use super::body::Decoder;
 use super::client::Client;
 use super::dialect::{Dialect, Forward, Told};
-use super::http1::{take_answer, Decoder, Head};
+use super::http1::{take_answer, Head};
+use super::listen::{listen, Woke};
 use super::pool::{Line, FRESH};
 use super::shared::Shared;
 use super::stream::{relay, Flow};
@@ -26,6 +29,7 @@
 const ANY_AGE: Duration = Duration::from_secs(3600);
 /// Silence at a worker is not taken for its end before this.
 const LEAST_PATIENCE: Ms = 400;
+const LEAST_SMALL: Ms = 150;
 /// Between looks at whether a silent worker is to be left.
 pub const LOOK: Ms = 100;
 
@@ -48,38 +52,6 @@
     Again,
 }
 
-/// What woke a wait for a worker's bytes.
-pub enum Woke {
-    Read,
-    Broke,
-    Gone,
-    Late,
-}
-
-/// Waits for bytes of a worker, for the caller to hang up, or for the time.
-pub async fn listen(line: &mut Line, c: Option<&Client>, ms: Ms) -> Woke {
-    let read = async {
-        match line.buf.fill(&mut line.s).await {
-            Ok(n) if n > 0 => Woke::Read,
-            _ => Woke::Broke,
-        }
-    };
-    let late = async {
-        sleep(Duration::from_millis(ms)).await;
-        Woke::Late
-    };
-    match c {
-        None => or(read, late).await,
-        Some(c) => {
-            let gone = async {
-                c.gone().await;
-                Woke::Gone
-            };
-            or(read, or(gone, late)).await
-        }
-    }
-}
-
 /// One sending under way.
 pub struct Sending<'a, D, C> {
     pub sh: &'a Shared<D, C>,
@@ -188,6 +160,7 @@
 async fn line_to<D: Dialect, C: Clock>(s: &Sending<'_, D, C>) -> Option<Line> {
     // why: what may run once must not go out where an old end may be on its way
     let within = if s.route.repeatable() { ANY_AGE } else { FRESH };
+    let within = if s.to.fresh { Duration::ZERO } else { within };
     if let Some(l) = s.sh.pool.take(s.to.worker, within) {
         return Some(l);
     }
@@ -272,8 +245,16 @@
     line: &mut Line,
 ) -> Result<Head, Heard> {
     let aim = Some(s.route.aim_ms).filter(|a| *a > 0);
-    let patience = aim.map_or(Ms::MAX / 2, |a| a.max(LEAST_PATIENCE));
-    let mut until = s.now().saturating_add(patience);
+    let small = s.route.kind == Kind::Idempotent;
+    // why: a small answer that is lost is best asked for again while that is in time
+    let (num, least) = if small {
+        (6, LEAST_SMALL)
+    } else {
+        (10, LEAST_PATIENCE)
+    };
+    let patience = aim.map_or(Ms::MAX / 4, |a| (a * num / 10).max(least));
+    let since = s.now();
+    let mut until = since.saturating_add(patience);
     loop {
         match take_answer(&mut line.buf) {
             Ok(Some(h)) if (100..200).contains(&h.status) => continue,
@@ -286,8 +267,10 @@
             return Err(Heard::Broke);
         }
         if now >= until {
-            // why: only if another may take it is it worth leaving this one
-            if s.may_move(patience) {
+            // why: only if another may take it is it worth leaving this one; a
+            // worker that speaks to others is slow, but not for twice as long
+            let slow = small || now >= since.saturating_add(2 * patience);
+            if s.may_move(if slow { 0 } else { patience }) {
                 return Err(Heard::Broke);
             }
             until = now + LOOK;
@@ -408,51 +391,3 @@
         s.drop_line(line);
     }
 }
-
-/// The worker's head as it goes to the caller, without the empty line.
-pub fn head_out(head: &Head) -> Vec<u8> {
-    let first = head.raw.split(|b| *b == b'\r').next().unwrap_or(&[]);
-    let rest = first.split(|b| *b == b' ').skip(1);
-    let mut b = b"HTTP/1.1".to_vec();
-    for w in rest {
-        b.push(b' ');
-        b.extend_from_slice(w);
-    }
-    b.extend_from_slice(b"\r\n");
-    for (n, v) in head.iter().filter(|(n, _)| !head.hop(n)) {
-        b.extend_from_slice(n.as_bytes());
-        b.extend_from_slice(b": ");
-        b.extend_from_slice(v);
-        b.extend_from_slice(b"\r\n");
-    }
-    b
-}
-
-/// A whole answer as it goes to the caller.
-fn plain(c: &Client, head: &Head, body: &[u8]) -> Vec<u8> {
-    let mut b = head_out(head);
-    if !matches!(head.status, 204 | 304) {
-        b.extend_from_slice(format!("Content-Length: {}\r\n", body.len()).as_bytes());
-    }
-    if c.close {
-        b.extend_from_slice(b"Connection: close\r\n");
-    }
-    b.extend_from_slice(b"\r\n");
-    b.extend_from_slice(body);
-    b
-}
-
-/// The framing of a stream to the caller.
-pub fn stream_head(c: &mut Client, head: &Head) -> Vec<u8> {
-    let mut b = head_out(head);
-    if c.old {
-        c.close = true;
-    } else {
-        b.extend_from_slice(b"Transfer-Encoding: chunked\r\n");
-    }
-    if c.close {
-        b.extend_from_slice(b"Connection: close\r\n");
-    }
-    b.extend_from_slice(b"\r\n");
-    b
-}
