--- a/test.sh
+++ b/test.sh
@@ -11,4 +11,15 @@
 cargo build --workspace --all-targets --locked
 cargo fmt --all --check
 cargo clippy --workspace --all-targets --locked -- -D warnings
-cargo test --workspace --locked
+# What is known to be red is passed over by its whole name, and printed.
+skip=()
+if [ -s KNOWN-RED.txt ]; then
+  echo "passed over, known to be red (KNOWN-RED.txt):"
+  while IFS='|' read -r name cause issue; do
+    name="${name%% *}"
+    [ -n "$name" ] || continue
+    echo "  $name |$cause|$issue"
+    skip+=(--skip "$name")
+  done < KNOWN-RED.txt
+fi
+cargo test --workspace --locked -- --exact "${skip[@]}"
