--- a/sorreldoor/src/core/duty.rs
+++ b/sorreldoor/src/core/duty.rs
@@ -201,7 +201,11 @@
             }
         }
         let serial = self.loads.serial + 1;
-        let l = Arc::new(Loads::new(epoch, serial, rows));
+        let l = Arc::new(Loads {
+            epoch,
+            serial,
+            rows,
+        });
         self.smooth.take(&l);
         self.loads = l.clone();
         for (c, _) in self.live_cores(3000).into_values() {
--- a/sorreldoor/src/errand/plan.rs
+++ b/sorreldoor/src/errand/plan.rs
@@ -38,9 +38,8 @@
     pub mine: Vec<u32>,
     /// Sent there since the last load report.
     since: Vec<u32>,
-    /// Edges with a session: all, and those of each region.
-    edges: Vec<String>,
-    near: HashMap<u8, Vec<String>>,
+    /// Edges with a session, and their regions.
+    edges: Vec<(String, u8)>,
 }
 
 impl Plan {
@@ -122,18 +121,17 @@
 
     /// Work out every worker's spot from what is shown.
     fn rebuild(&mut self) {
-        let seats = self.shown.seats.1.iter();
-        let mut edges: Vec<(String, u8)> = seats.map(|s| (s.node.clone(), s.region)).collect();
+        self.edges = self
+            .shown
+            .seats
+            .1
+            .iter()
+            .map(|s| (s.node.clone(), s.region))
+            .collect();
         // why: an edge that is not listed yet must still count itself
-        if !edges.iter().any(|(e, _)| *e == self.me) {
-            edges.push((self.me.clone(), self.region));
+        if !self.edges.iter().any(|(e, _)| *e == self.me) {
+            self.edges.push((self.me.clone(), self.region));
         }
-        // why: listed once a rebuild, not once for each worker
-        self.near.clear();
-        for (e, r) in &edges {
-            self.near.entry(*r).or_default().push(e.clone());
-        }
-        self.edges = edges.into_iter().map(|(e, _)| e).collect();
         self.spots.iter_mut().for_each(|s| *s = None);
         let Some(setup) = self.setup.clone() else {
             return;
@@ -172,8 +170,17 @@
     /// This edge's part of what a worker may hold: strict while it is cold.
     fn most(&self, w: &Worker, slots: u32, warm: setup::Warm, done: u64) -> (u32, u32) {
         let cap = u64::from(warm.first) + done / u64::from(warm.after.max(1));
-        let all = &self.edges[..];
-        let near = self.near.get(&w.region).map_or(&[][..], |n| &n[..]);
+        let all = self
+            .edges
+            .iter()
+            .map(|(e, _)| e.clone())
+            .collect::<Vec<_>>();
+        let near: Vec<String> = self
+            .edges
+            .iter()
+            .filter(|(_, r)| *r == w.region)
+            .map(|(e, _)| e.clone())
+            .collect();
         if cap >= u64::from(slots) || broken(Rule::Warm) {
             // why: what others send is seen half a second late, so no edge may
             // take all; but a share too small would leave free slots unused
@@ -188,7 +195,7 @@
         // why: what a cold worker can bear holds for all edges together, so a
         // few have it to themselves; they change over so that none goes without
         let turn = self.shown.loads.serial / TURN;
-        let rank = place::rank(set, &self.me, &format!("{}/{turn}", w.name));
+        let rank = place::rank(&set, &self.me, &format!("{}/{turn}", w.name));
         (place::part_of(cap as u32, set.len(), rank), cap as u32)
     }
 
--- a/sorreldoor/src/roster.rs
+++ b/sorreldoor/src/roster.rs
@@ -4,10 +4,7 @@
 use crate::setup::Site;
 use serde::{Deserialize, Serialize};
 use simd_json::prelude::*;
-use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::OnceLock;
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Worker {
@@ -104,61 +101,15 @@
 pub struct Loads {
     pub epoch: u64,
     pub serial: u64,
-    // why: the index holds for these rows only, so nobody else may change them
-    rows: Vec<Load>,
-    #[serde(skip)]
-    index: Index,
-}
-
-/// Rows by name, made at the first look-up; it is no part of what is told.
-#[derive(Debug, Default)]
-struct Index {
-    at: OnceLock<HashMap<String, usize>>,
-    looks: AtomicU64,
-}
-
-impl Clone for Index {
-    fn clone(&self) -> Index {
-        Index::default()
-    }
-}
-
-impl PartialEq for Index {
-    fn eq(&self, _: &Index) -> bool {
-        true
-    }
+    pub rows: Vec<Load>,
 }
 
 impl Loads {
-    pub fn new(epoch: u64, serial: u64, rows: Vec<Load>) -> Loads {
-        Loads {
-            epoch,
-            serial,
-            rows,
-            index: Index::default(),
-        }
-    }
-    pub fn rows(&self) -> &[Load] {
-        &self.rows
-    }
     pub fn mark(&self) -> (u64, u64) {
         (self.epoch, self.serial)
     }
-    /// Look-ups so far; each is one probe of a map, whatever its size.
-    pub fn looks(&self) -> u64 {
-        self.index.looks.load(Ordering::Relaxed)
-    }
     pub fn of(&self, name: &str) -> Option<&Load> {
-        self.index.looks.fetch_add(1, Ordering::Relaxed);
-        let all = self.index.at.get_or_init(|| {
-            let mut m = HashMap::with_capacity(self.rows.len());
-            // why: of two rows with one name the first counts, as in a search
-            for (i, l) in self.rows.iter().enumerate() {
-                m.entry(l.name.clone()).or_insert(i);
-            }
-            m
-        });
-        all.get(name).map(|i| &self.rows[*i])
+        self.rows.iter().find(|l| l.name == name)
     }
 }
 
--- a/sorreldoor/src/tune.rs
+++ b/sorreldoor/src/tune.rs
@@ -17,7 +17,7 @@
 impl Smooth {
     /// Take in a round of reports; a dark worker's past counts no more.
     pub fn take(&mut self, loads: &Loads) {
-        for l in loads.rows() {
+        for l in &loads.rows {
             let now = i64::from(l.running + l.queued) * 100;
             let s = self.0.entry(l.name.clone()).or_insert(now);
             // why: one look at a worker is mostly noise; about eight are not
@@ -26,31 +26,25 @@
         self.0.retain(|n, _| loads.of(n).is_some());
     }
 
-    pub fn of(&self, name: &str) -> i64 {
+    fn of(&self, name: &str) -> i64 {
         self.0.get(name).copied().unwrap_or(0)
     }
 }
 
-/// How full each service's live workers are, in percent; none if it has none.
-pub fn pressures(s: &Setup, ro: &Roster, loads: &Loads, smooth: &Smooth) -> Vec<Option<i64>> {
-    // why: each worker is looked up once a step, not once a route and share
-    let mut sums = vec![(0i64, 0i64); s.groups.len()];
+/// How full a service's live workers are, in percent; none if it has none.
+fn pressure(s: &Setup, service: u16, ro: &Roster, loads: &Loads, smooth: &Smooth) -> Option<i64> {
+    let groups = &s.services[service as usize].groups;
+    let mut used = 0i64;
+    let mut room = 0i64;
     for w in ro.workers.iter().filter(|w| !w.leaving) {
-        let Some(g) = s.group(&w.group) else { continue };
-        if let Some(l) = loads.of(&w.name).filter(|l| l.live) {
-            let sum = &mut sums[g as usize];
-            sum.0 += smooth.of(&l.name);
-            sum.1 += i64::from(l.slots.max(1));
+        let in_group = s.group(&w.group).is_some_and(|g| groups.contains(&g));
+        let l = loads.of(&w.name).filter(|l| l.live && in_group);
+        if let Some(l) = l {
+            used += smooth.of(&l.name);
+            room += i64::from(l.slots.max(1));
         }
     }
-    let full = |groups: &[u16]| {
-        // why: a group that a service names twice counts once
-        let mine = sums.iter().enumerate();
-        let mine = mine.filter(|(g, _)| groups.contains(&(*g as u16)));
-        let (used, room) = mine.fold((0, 0), |t, (_, n)| (t.0 + n.0, t.1 + n.1));
-        (room > 0).then(|| used / room)
-    };
-    s.services.iter().map(|v| full(&v.groups)).collect()
+    (room > 0).then(|| used / room)
 }
 
 /// What errands of a route took through a service, smoothed.
@@ -102,8 +96,8 @@
 
 /// What a share costs an errand: its measured time where all shares have one,
 /// else how full its workers are. A service without live workers has none.
-fn costs(s: &Setup, r: &Route, now: &Now, full: &[Option<i64>]) -> Vec<Option<i64>> {
-    let full = |h: &Share| full[h.service as usize];
+fn costs(s: &Setup, r: &Route, now: &Now) -> Vec<Option<i64>> {
+    let full = |h: &Share| pressure(s, h.service, now.ro, now.loads, now.smooth);
     let name = |h: &Share| s.services[h.service as usize].name.as_str();
     let timed: Vec<Option<i64>> = r
         .shares
@@ -124,7 +118,8 @@
     pub times: &'a Times,
 }
 
-fn route(r: &Route, is: &[u32], cs: &[Option<i64>]) -> Vec<u32> {
+fn route(s: &Setup, r: &Route, is: &[u32], now: &Now) -> Vec<u32> {
+    let cs = costs(s, r, now);
     let known: Vec<i64> = cs.iter().flatten().copied().collect();
     if known.len() < 2 {
         return is.to_vec();
@@ -150,7 +145,6 @@
 
 /// The weights that should change, by route and service.
 pub fn step(s: &Setup, tuned: &[(u16, u16, u32)], by: &Now) -> Vec<(u16, u16, u32)> {
-    let full = pressures(s, by.ro, by.loads, by.smooth);
     let mut out = Vec::new();
     for (i, r) in s.routes.iter().enumerate() {
         let now: Vec<u32> = r
@@ -158,7 +152,7 @@
             .iter()
             .map(|h| weight(tuned, i as u16, h.service).unwrap_or(h.weight))
             .collect();
-        let next = route(r, &now, &costs(s, r, by, &full));
+        let next = route(s, r, &now, by);
         // why: a route on which every share fell to nothing could not be served
         if next.iter().all(|w| *w == 0) {
             continue;
