--- a/sorreldoor/src/proxy/table/rank.rs
+++ b/sorreldoor/src/proxy/table/rank.rs
@@ -176,7 +176,6 @@
             true => w.kept.hit(&r.parts),
             false => (0, 0),
         };
-        // why: other nodes send this prefix there too
         let several = r.parts.len() > 1;
         // why: other nodes send this prefix there too; a single part may well
         // be the request's own, and new
