Step-down reasons name the silent voters; superseded connections are closed

Cause: a core that lost its power and returned was reached over its new connection only in one direction: the other cores kept sending on the connection that they had dialled before, dead at the far end, until nothing had arrived on it for 3 s. A leader that needed the returning core elected itself with its vote and then lost touch. Simulator: half-open connections (lost resets, retransmissions, user time-out), losses of power nobody is told of.

--- a/sorreldoor/src/consensus/confchange.rs
+++ b/sorreldoor/src/consensus/confchange.rs
@@ -7,6 +7,7 @@
 //! finishes a change that its predecessor left unfinished.
 
 use super::entry::{Body, Entry, Member};
+use super::event::StepDownReason;
 use super::node::Consensus;
 use super::quorum;
 use super::role::Role;
@@ -78,7 +79,7 @@
             return self.append_configuration(quorum::without_outgoing(members));
         }
         if committed && !self.is_voter() {
-            self.step_down("no longer a voter");
+            self.step_down(StepDownReason::NoVoter);
         }
     }
 }
--- a/sorreldoor/src/consensus/event.rs
+++ b/sorreldoor/src/consensus/event.rs
@@ -4,7 +4,8 @@
 use super::errors::ProposalError;
 use super::messages::Msg;
 use super::save::Save;
-use crate::types::{NodeId, ProposalId, RegionId};
+use crate::types::{Millis, NodeId, ProposalId, RegionId};
+use std::fmt;
 use std::sync::Arc;
 
 /// An input of the reducer.
@@ -121,8 +122,8 @@
     SteppedDown {
         /// The term that it led.
         term: u64,
-        /// Why, in a few words for the operator.
-        reason: &'static str,
+        /// Why.
+        reason: StepDownReason,
     },
     /// As Global Leader, this node has not heard from a majority of a region's
     /// voters for `region_timeout`. Commits depend on that region only where
@@ -146,3 +147,47 @@
     /// succeeds.
     DiskFailed,
 }
+
+/// A voter that a leader has not heard from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SilentVoter {
+    /// The voter.
+    pub id: NodeId,
+    /// Milliseconds since its last message.
+    pub silent_ms: Millis,
+}
+
+/// Why a Global Leader stepped down, or a candidate gave up its campaign.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum StepDownReason {
+    /// Another core has a newer term: an ordinary change of leaders.
+    NewerTerm,
+    /// No majority was heard from for an election time-out.
+    NoQuorum {
+        /// The voters that were not heard from.
+        silent: Vec<SilentVoter>,
+    },
+    /// A save was not synced in time.
+    DiskStalled,
+    /// A save was refused by the disk.
+    DiskFailed,
+    /// A change of the members took its vote.
+    NoVoter,
+}
+
+impl fmt::Display for StepDownReason {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            StepDownReason::NewerTerm => f.write_str("a newer term"),
+            StepDownReason::NoQuorum { silent } => {
+                f.write_str("no majority of cores heard; silent:")?;
+                silent
+                    .iter()
+                    .try_for_each(|v| write!(f, " {:x} for {} ms", v.id, v.silent_ms))
+            }
+            StepDownReason::DiskStalled => f.write_str("disk does not sync in time"),
+            StepDownReason::DiskFailed => f.write_str("disk failed"),
+            StepDownReason::NoVoter => f.write_str("no longer a voter"),
+        }
+    }
+}
--- a/sorreldoor/src/consensus/leader.rs
+++ b/sorreldoor/src/consensus/leader.rs
@@ -1,13 +1,14 @@
 //! The Global Leader's term of office: taking it up, appending, and its tick.
 
 use super::entry::{Body, Entry};
-use super::event::StateChange;
+use super::event::{SilentVoter, StateChange, StepDownReason};
 use super::node::Consensus;
 use super::progress::Progress;
 use super::role::Role;
 use super::save::Save;
 use super::state_machine::StateMachine;
 use crate::invariants::{broken, Invariant};
+use crate::types::NodeId;
 
 impl<M: StateMachine> Consensus<M> {
     /// Become the Global Leader after a won election.
@@ -72,12 +73,13 @@
 
     pub(super) fn tick_leader(&mut self) {
         if !self.has_live_quorum() && !broken(Invariant::StepDown) {
-            self.step_down("no majority of cores heard");
+            let silent = self.silent_voters();
+            self.step_down(StepDownReason::NoQuorum { silent });
             return;
         }
         self.leader_known_at = Some(self.now);
         if self.disk_stalled() {
-            self.step_down("disk does not sync in time");
+            self.step_down(StepDownReason::DiskStalled);
             return;
         }
         if self.now >= self.next_heartbeat_at {
@@ -101,4 +103,21 @@
             id == self.id || progress.is_some_and(|p| p.last_heard_at >= live)
         })
     }
+
+    /// The voters that were not heard from for an election time-out, for the
+    /// operator's log.
+    fn silent_voters(&self) -> Vec<SilentVoter> {
+        let silent_for = |id: NodeId| {
+            let progress = self.progress.get(&id);
+            progress.map_or(self.now, |p| self.now.saturating_sub(p.last_heard_at))
+        };
+        let voters = self.voters().into_iter().filter(|id| *id != self.id);
+        voters
+            .map(|id| SilentVoter {
+                id,
+                silent_ms: silent_for(id),
+            })
+            .filter(|voter| voter.silent_ms >= self.timing.election_timeout)
+            .collect()
+    }
 }
--- a/sorreldoor/src/consensus/mod.rs
+++ b/sorreldoor/src/consensus/mod.rs
@@ -48,7 +48,7 @@
 
 pub use entry::{Body, Entry, HardState, LogPosition, Member, Snapshot};
 pub use errors::ProposalError;
-pub use event::{Effect, Event, StateChange};
+pub use event::{Effect, Event, SilentVoter, StateChange, StepDownReason};
 pub use messages::{
     AppendReply, AppendRequest, Chunk, ContentHeader, Msg, ReplicaProgress, VoteReply,
 };
--- a/sorreldoor/src/consensus/persistence.rs
+++ b/sorreldoor/src/consensus/persistence.rs
@@ -5,7 +5,7 @@
 //! are deferred until all saves ordered before them are synced.
 
 use super::errors::ProposalError;
-use super::event::{Effect, StateChange};
+use super::event::{Effect, StateChange, StepDownReason};
 use super::messages::Msg;
 use super::node::Consensus;
 use super::pending::{DeferredMessage, UnsyncedSave};
@@ -106,7 +106,7 @@
         self.disk_failed = true;
         self.deferred_messages.clear();
         self.report(StateChange::DiskFailed);
-        self.step_down("disk failed");
+        self.step_down(StepDownReason::DiskFailed);
         self.domain_role = Role::Follower;
         let pending: Vec<ProposalId> = self.pending_proposals.keys().copied().collect();
         for id in pending {
--- a/sorreldoor/src/consensus/term.rs
+++ b/sorreldoor/src/consensus/term.rs
@@ -1,6 +1,6 @@
 //! Changes of term and role (thesis, section 3.3).
 
-use super::event::StateChange;
+use super::event::{StateChange, StepDownReason};
 use super::node::Consensus;
 use super::role::Role;
 use super::state_machine::StateMachine;
@@ -24,7 +24,7 @@
 
     /// Enter a newer term as a follower.
     pub(super) fn become_follower(&mut self, term: u64, global_leader: Option<NodeId>) {
-        self.report_step_down("a newer term");
+        self.report_step_down(StepDownReason::NewerTerm);
         self.hard_state.term = term;
         self.hard_state.vote = None;
         self.role = Role::Follower;
@@ -35,7 +35,7 @@
     }
 
     /// Give up the leadership, or a campaign, within the term.
-    pub(super) fn step_down(&mut self, reason: &'static str) {
+    pub(super) fn step_down(&mut self, reason: StepDownReason) {
         self.report_step_down(reason);
         self.role = Role::Follower;
         self.global_leader = None;
@@ -43,7 +43,7 @@
         self.reset_election_deadline();
     }
 
-    fn report_step_down(&mut self, reason: &'static str) {
+    fn report_step_down(&mut self, reason: StepDownReason) {
         if self.role == Role::Leader {
             let term = self.hard_state.term;
             self.report(StateChange::SteppedDown { term, reason });
--- a/sorreldoor/src/control_plane/client.rs
+++ b/sorreldoor/src/control_plane/client.rs
@@ -2,7 +2,7 @@
 //! event for the reducer, and the task waits for the reply.
 
 use super::events::ControllerEvent;
-use crate::net::Ring;
+use crate::net::EventSender;
 use crate::replicated_state::{Command, View};
 use crate::types::{NodeId, ProposalId};
 use crate::wire::{EdgeEndpoint, OpOutcome};
@@ -78,7 +78,7 @@
 /// A handle to the controller of this process.
 #[derive(Clone)]
 pub struct ControllerClient {
-    events: Ring<ControllerEvent>,
+    events: EventSender<ControllerEvent>,
     pub(super) pending: PendingRequests,
     /// Time within which a change should be acknowledged.
     ack_ms: u64,
@@ -89,7 +89,7 @@
     /// A client that sends to `events`; `ack_ms` is the time in milliseconds
     /// within which a change should be acknowledged.
     #[must_use]
-    pub fn new(events: Ring<ControllerEvent>, ack_ms: u64) -> ControllerClient {
+    pub fn new(events: EventSender<ControllerEvent>, ack_ms: u64) -> ControllerClient {
         ControllerClient {
             events,
             pending: PendingRequests::default(),
--- a/sorreldoor/src/control_plane/connections.rs
+++ b/sorreldoor/src/control_plane/connections.rs
@@ -1,6 +1,7 @@
 //! Open connections to other nodes: who is at the other end of each, and when
 //! it last carried a frame in either direction.
 
+use crate::invariants::{broken, Invariant};
 use crate::net::Conn;
 use crate::types::{Millis, NodeId};
 use crate::wire::Hello;
@@ -74,11 +75,28 @@
         }
     }
 
-    /// The remote node has introduced itself.
-    pub fn identify(&mut self, conn: Conn, hello: Hello) {
+    /// The remote node has introduced itself. Returns the connections that are
+    /// dead for certain: those to an earlier incarnation of a core, and those to
+    /// another identity at its address, whose disk was lost. Without a reset
+    /// from the peer's machine this end could not tell.
+    #[must_use]
+    pub fn identify(&mut self, conn: Conn, hello: Hello) -> Vec<Conn> {
+        let is_superseded = |other: &Hello| {
+            if broken(Invariant::Superseded) {
+                return false;
+            }
+            let same_identity = other.id == hello.id;
+            let restarted = same_identity && other.incarnation != hello.incarnation;
+            restarted || (!same_identity && other.addr == hello.addr)
+        };
+        let superseded = self.connections.iter().filter(|(other, connection)| {
+            **other != conn && hello.core && connection.core().is_some_and(is_superseded)
+        });
+        let superseded = superseded.map(|(other, _)| *other).collect();
         if let Some(connection) = self.connections.get_mut(&conn) {
             connection.hello = Some(hello);
         }
+        superseded
     }
 
     /// The remote node, once it has introduced itself.
@@ -108,13 +126,20 @@
         cores.map(|(conn, _)| *conn).collect()
     }
 
-    /// The connection to use towards a node: one that this node dialled is
-    /// preferred, then the one that received a frame last.
+    /// The connection to use towards a node: a live one before a silent one,
+    /// which may be dead at the other end; of the live ones one that this node
+    /// dialled; then the one that received a frame last.
     pub fn to(&self, id: NodeId) -> Option<Conn> {
-        self.connections
-            .iter()
-            .filter(|(_, connection)| connection.is_to(id))
-            .max_by_key(|(_, connection)| (connection.dialled.is_some(), connection.received_at))
+        let to_node = self.connections.iter().filter(|(_, c)| c.is_to(id));
+        let last_received = to_node.clone().map(|(_, c)| c.received_at).max()?;
+        let live_since = last_received.saturating_sub(LIVE_MS);
+        let preference = |connection: &Connection| {
+            let is_live = connection.received_at >= live_since || broken(Invariant::LiveConnection);
+            let is_dialled = connection.dialled.is_some();
+            (is_live, is_dialled, connection.received_at)
+        };
+        to_node
+            .max_by_key(|(_, connection)| preference(connection))
             .map(|(conn, _)| *conn)
     }
 
--- a/sorreldoor/src/control_plane/controller/frames.rs
+++ b/sorreldoor/src/control_plane/controller/frames.rs
@@ -50,13 +50,20 @@
         if hello.id == self.me.id {
             return self.on_own_hello(conn);
         }
-        if !hello.core {
+        if hello.core {
+            self.membership.on_hello(&hello);
+            self.identify(conn, hello);
+            self.send_initial_state(conn);
+        } else {
             self.begin_session(conn, hello.clone());
-            return self.connections.identify(conn, hello);
+            self.identify(conn, hello);
+        }
+    }
+
+    fn identify(&mut self, conn: Conn, hello: Hello) {
+        for superseded in self.connections.identify(conn, hello) {
+            self.out.push(ControllerEffect::Close(superseded));
         }
-        self.membership.on_hello(&hello);
-        self.connections.identify(conn, hello);
-        self.send_initial_state(conn);
     }
 
     /// A connection to oneself, through a seed address, is of no use.
--- a/sorreldoor/src/control_plane/daemon.rs
+++ b/sorreldoor/src/control_plane/daemon.rs
@@ -12,7 +12,7 @@
 use crate::consensus::Member;
 use crate::http;
 use crate::log_events::{log_event, LogEvent};
-use crate::net::{Net, NetEvent, Ring};
+use crate::net::{EventSender, Net, NetEvent};
 use crate::order_id::random_id;
 use crate::replicated_state::decode;
 use crate::runtime::{self, EffectHandler};
@@ -119,7 +119,7 @@
 fn start_net(
     settings: &Settings,
     listener: TcpListener,
-    events: &Ring<ControllerEvent>,
+    events: &EventSender<ControllerEvent>,
 ) -> Net<ControllerEvent> {
     let net = Net::new(
         settings.site_fingerprint(),
@@ -176,7 +176,7 @@
 fn start_event_sources(
     settings: &Settings,
     source: Option<&Arc<dyn WorkerSource>>,
-    events: &Ring<ControllerEvent>,
+    events: &EventSender<ControllerEvent>,
 ) -> Result<(), StartError> {
     let interval = Duration::from_millis(settings.pacing.tick_ms);
     crate::run::ticker(events.clone(), interval, || ControllerEvent::Tick);
@@ -195,7 +195,7 @@
     client: ControllerClient,
     source: Option<Arc<dyn WorkerSource>>,
     storage: StorageDriver<S>,
-    events: Ring<ControllerEvent>,
+    events: EventSender<ControllerEvent>,
     gate: http::Gate,
     /// When to end, once the process was told to stop.
     stop_at: Option<Instant>,
--- a/sorreldoor/src/control_plane/polling.rs
+++ b/sorreldoor/src/control_plane/polling.rs
@@ -5,7 +5,7 @@
 use super::integration::WorkerSource;
 use crate::discovery::{self, Load};
 use crate::http::{self, Call};
-use crate::net::Ring;
+use crate::net::EventSender;
 use crate::settings::Settings;
 use async_std::task;
 use std::net::SocketAddr;
@@ -20,7 +20,7 @@
 /// Reads the list of workers once; false if the controller has stopped.
 pub(super) async fn read_workers(
     source: Arc<dyn WorkerSource>,
-    events: Ring<ControllerEvent>,
+    events: EventSender<ControllerEvent>,
 ) -> bool {
     let result = source.poll().await;
     let event = ControllerEvent::WorkerRegistry(result);
@@ -28,7 +28,10 @@
 }
 
 /// Reads the list of workers periodically until the controller stops.
-pub(super) async fn watch_workers(source: Arc<dyn WorkerSource>, events: Ring<ControllerEvent>) {
+pub(super) async fn watch_workers(
+    source: Arc<dyn WorkerSource>,
+    events: EventSender<ControllerEvent>,
+) {
     while read_workers(source.clone(), events.clone()).await {
         task::sleep(Duration::from_millis(source.poll_interval_ms())).await;
     }
@@ -39,7 +42,7 @@
     settings: Arc<Settings>,
     epoch: u64,
     workers: Vec<WorkerAddress>,
-    events: Ring<ControllerEvent>,
+    events: EventSender<ControllerEvent>,
 ) {
     let poll = |worker: WorkerAddress| {
         let address = settings.dial_address(worker.address);
--- a/sorreldoor/src/control_plane/storage_driver.rs
+++ b/sorreldoor/src/control_plane/storage_driver.rs
@@ -5,7 +5,7 @@
 use super::start_error::{OpenStoreSnafu, StartError};
 use crate::consensus::Save;
 use crate::log_events::{log_event, LogEvent};
-use crate::net::Ring;
+use crate::net::EventSender;
 use crate::replicated_state::{decode, encode};
 use crate::store::{Directory, DurableStore, OpenedStore, Store};
 use async_std::channel::{bounded, Receiver, Sender};
@@ -109,7 +109,7 @@
 
 impl<S: Store + 'static> StorageDriver<S> {
     /// Starts the thread; it reports the end of each save to `events`.
-    pub(super) fn start(store: S, events: Ring<ControllerEvent>) -> StorageDriver<S> {
+    pub(super) fn start(store: S, events: EventSender<ControllerEvent>) -> StorageDriver<S> {
         let store = Arc::new(Mutex::new(store));
         let (saves, queued) = bounded(MAX_QUEUED);
         let shared = store.clone();
@@ -145,7 +145,7 @@
 fn save_next<S: Store>(
     store: &Mutex<S>,
     queued: &Receiver<(u64, Save)>,
-    events: &Ring<ControllerEvent>,
+    events: &EventSender<ControllerEvent>,
 ) -> Option<()> {
     let mut batch = vec![queued.recv_blocking().ok()?];
     while batch.len() < MAX_BATCH {
--- a/sorreldoor/src/gateway/api.rs
+++ b/sorreldoor/src/gateway/api.rs
@@ -8,7 +8,7 @@
 use crate::gateway::request_table::{RequestId, RequestSpec};
 use crate::http;
 use crate::json::Value;
-use crate::net::Ring;
+use crate::net::EventSender;
 use crate::operator_api::{self, OperatorRequest};
 use crate::order_id;
 use crate::replicated_state::View;
@@ -29,7 +29,7 @@
 pub(super) struct Api {
     pub settings: Arc<Settings>,
     /// The controller's queue of events.
-    pub events: Ring<EdgeEvent>,
+    pub events: EventSender<EdgeEvent>,
     pub calls: PendingCalls,
 }
 
--- a/sorreldoor/src/gateway/attempt.rs
+++ b/sorreldoor/src/gateway/attempt.rs
@@ -9,7 +9,7 @@
 use crate::http::{self, Broke, Call};
 use crate::invariants::{broken, Invariant};
 use crate::json;
-use crate::net::Ring;
+use crate::net::EventSender;
 use async_std::channel::{bounded, Receiver, Sender};
 use async_std::future::timeout;
 use async_std::io::BufReader;
@@ -30,7 +30,7 @@
     pub request_id: RequestId,
     pub token: AttemptToken,
     pub request: Arc<WorkerRequest>,
-    pub events: Ring<EdgeEvent>,
+    pub events: EventSender<EdgeEvent>,
     pub commands: Receiver<AttemptCommand>,
     pub response: Sender<WorkerResponse>,
 }
--- a/sorreldoor/src/gateway/run.rs
+++ b/sorreldoor/src/gateway/run.rs
@@ -10,7 +10,7 @@
 use crate::gateway::request_table::{AttemptToken, ClusterView, RequestEffect, RequestId};
 use crate::http;
 use crate::log_events::{log_event, LogEvent};
-use crate::net::{Net, NetEvent, Ring};
+use crate::net::{EventSender, Net, NetEvent};
 use crate::runtime::{self, Clock, EffectHandler};
 use crate::settings::Settings;
 use crate::subscription::Pull;
@@ -115,7 +115,7 @@
     net: Net<EdgeEvent>,
     settings: Arc<Settings>,
     calls: PendingCalls,
-    events: Ring<EdgeEvent>,
+    events: EventSender<EdgeEvent>,
     attempts: HashMap<AttemptToken, Attempt>,
     gate: http::Gate,
     /// When the daemon ends, whatever still runs; set once it shuts down.
--- a/sorreldoor/src/invariants.rs
+++ b/sorreldoor/src/invariants.rs
@@ -97,6 +97,11 @@
     Differences "differences";
     // Updates of item lists contain the deletions.
     Deletions "deletions";
+    // Connections to an earlier incarnation of a core, or to the identity whose disk
+    // was lost, are closed once the next one introduces itself.
+    Superseded "superseded";
+    // Frames go on a connection that still receives, if there is one.
+    LiveConnection "live-connection";
     // The bytes of large updates in flight are bounded.
     CopiesBounded "copies-bounded";
 }
--- a/sorreldoor/src/run.rs
+++ b/sorreldoor/src/run.rs
@@ -1,7 +1,7 @@
 //! What daemons need around their reducers: ticks, termination signals and an
 //! edge's introduction.
 
-use crate::net::Ring;
+use crate::net::EventSender;
 use crate::order_id;
 use crate::settings::Settings;
 use crate::wire::Hello;
@@ -11,7 +11,7 @@
 /// Starts a thread that sends the event made by `f` to the queue at a fixed
 /// interval. A tick is skipped while the queue is full; the thread ends when the
 /// queue is closed.
-pub fn ticker<E: Send + 'static>(ring: Ring<E>, every: Duration, f: fn() -> E) {
+pub fn ticker<E: Send + 'static>(ring: EventSender<E>, every: Duration, f: fn() -> E) {
     thread::spawn(move || loop {
         thread::sleep(every);
         let r = ring.try_send(f());
@@ -26,7 +26,7 @@
 ///
 /// # Errors
 /// The signal handlers could not be installed.
-pub fn on_term<E: Send + 'static>(ring: Ring<E>, f: fn() -> E) -> Result<(), String> {
+pub fn on_term<E: Send + 'static>(ring: EventSender<E>, f: fn() -> E) -> Result<(), String> {
     use signal_hook::consts::{SIGINT, SIGTERM};
     let mut s = signal_hook::iterator::Signals::new([SIGTERM, SIGINT])
         .map_err(|e| format!("signals: {e}"))?;
--- a/sorreldoor/tests/updates/delivery.rs
+++ b/sorreldoor/tests/updates/delivery.rs
@@ -2,7 +2,7 @@
 
 use super::{with_routes, Core};
 use sorreldoor::control_plane::updates::{NextUpdate, Updates, MAX_IN_FLIGHT};
-use sorreldoor::net;
+use sorreldoor::net::{self, Push};
 use sorreldoor::wire::{EncodedUpdate, LARGE_UPDATE};
 use std::sync::Arc;
 
@@ -88,23 +88,27 @@
 /// The send queue of a connection is bounded in bytes, whatever the frames' size.
 #[test]
 fn a_queue_holds_so_many_bytes_and_no_more() {
-    let (sender, queued) = net::queue();
+    let (sender, frames, _closed) = net::queue();
     let frame = vec![0; 1 << 20];
-    let accepted = (0..20).filter(|_| sender.push(frame.clone()) == Some(true));
+    let accepted = (0..20).filter(|_| sender.push(frame.clone()) == Push::Queued);
     assert_eq!(accepted.count(), 4);
-    let first_update = async_std::task::block_on(queued.next()).expect("a frame waits");
+    let first_update = async_std::task::block_on(frames.next()).expect("a frame waits");
     assert_eq!(
         sender.push(frame.clone()),
-        Some(false),
+        Push::Full,
         "it is not written yet"
     );
-    queued.done(&first_update);
-    assert_eq!(sender.push(frame.clone()), Some(true));
+    frames.written(&first_update);
+    assert_eq!(sender.push(frame.clone()), Push::Queued);
     // a single frame of any size is accepted
-    let (sender, _queued) = net::queue();
-    assert_eq!(sender.push(vec![0; 9 << 20]), Some(true));
-    assert_eq!(sender.push(vec![0; 1]), Some(false));
-    let (sender, queued) = net::queue();
-    drop(queued);
-    assert_eq!(sender.push(vec![0; 1]), None, "the connection is gone");
+    let (sender, _frames, _closed) = net::queue();
+    assert_eq!(sender.push(vec![0; 9 << 20]), Push::Queued);
+    assert_eq!(sender.push(vec![0; 1]), Push::Full);
+    let (sender, frames, _closed) = net::queue();
+    drop(frames);
+    assert_eq!(
+        sender.push(vec![0; 1]),
+        Push::Closed,
+        "the connection is gone"
+    );
 }
--- a/testbed/src/site/mod.rs
+++ b/testbed/src/site/mod.rs
@@ -10,6 +10,7 @@
 mod clocks;
 mod configuration_history;
 mod fault_injection;
+mod half_open;
 pub mod linearizability;
 mod network;
 mod operators;
@@ -27,6 +28,7 @@
 pub use checker::check;
 pub use clients::{Client, ClientOutcome};
 pub use fault_injection::FaultMix;
+pub use half_open::HalfOpenFaults;
 pub use network::{ClaimsTraffic, Partition};
 pub use processes::{Process, Role};
 pub use proposals::{OperatorFaults, Proposals, INITIAL_STATE};
@@ -55,6 +57,9 @@
     pub site: Arc<Site>,
     pub processes: Vec<Process>,
     pub(crate) connections: BTreeMap<u64, network::Connection>,
+    /// Connections whose other end has lost power, until they are noticed.
+    pub(crate) half_open: Vec<half_open::HalfOpen>,
+    pub half_open_faults: HalfOpenFaults,
     /// Pairs of processes (from, to) between which nothing passes.
     pub blocked_links: BTreeSet<(usize, usize)>,
     pub workers: Vec<SimulatedWorker>,
@@ -142,6 +147,8 @@
             site,
             processes: Vec::new(),
             connections: BTreeMap::new(),
+            half_open: Vec::new(),
+            half_open_faults: HalfOpenFaults::default(),
             blocked_links: BTreeSet::new(),
             workers: Vec::new(),
             blocked_worker_links: BTreeSet::new(),
--- a/testbed/src/site/network.rs
+++ b/testbed/src/site/network.rs
@@ -10,7 +10,7 @@
 use std::net::SocketAddr;
 
 /// A connection over which nothing arrives for so long is closed.
-const IDLE_TIMEOUT_MS: Millis = 3000;
+pub(super) const IDLE_TIMEOUT_MS: Millis = 3000;
 /// Until both ends of a closed connection notice.
 const CLOSE_MS: Millis = 2;
 /// Between attempts to dial an address that cannot be reached.
@@ -65,7 +65,7 @@
     withheld: Vec<Payload>,
     /// When the last payload on its way here arrives.
     last_delivery_at: Millis,
-    last_received_at: Millis,
+    pub(super) last_received_at: Millis,
 }
 
 /// A connection; endpoint 0 dialled it.
@@ -76,7 +76,7 @@
 }
 
 impl Connection {
-    fn ends_at(&self, process: usize) -> bool {
+    pub(super) fn ends_at(&self, process: usize) -> bool {
         self.endpoints.iter().any(|end| end.process == process)
     }
 
@@ -125,7 +125,7 @@
         }
     }
 
-    fn connections_that(&self, matches: impl Fn(&Connection) -> bool) -> Vec<u64> {
+    pub(super) fn connections_that(&self, matches: impl Fn(&Connection) -> bool) -> Vec<u64> {
         let all = self.connections.iter();
         let matching = all.filter(|(_, connection)| matches(connection));
         matching.map(|(conn, _)| *conn).collect()
@@ -241,6 +241,7 @@
                 self.poll_endpoint(conn, to_end);
             }
         }
+        self.poll_half_open();
         self.after(POLL_MS, |world| world.poll_connections());
     }
 
@@ -267,7 +268,7 @@
     /// blocked, by the idle time-out.
     pub(crate) fn close(&mut self, conn: u64) {
         let Some(connection) = self.connections.get(&conn) else {
-            return;
+            return self.close_half_open(conn);
         };
         let [a, b] = &connection.endpoints;
         let blocked = self.is_blocked(a.process, b.process);
@@ -278,15 +279,31 @@
         let Some(connection) = self.connections.remove(&conn) else {
             return;
         };
-        let [dialler, listener] = &connection.endpoints;
-        for end in [dialler, listener] {
-            let (process, incarnation) = (end.process, end.incarnation);
-            self.after(wait, move |world| {
-                world.deliver_to_process(process, incarnation, move |world| {
-                    world.net_event(process, NetEvent::Down { conn })
-                })
-            });
+        for end in 0..2 {
+            let end = &connection.endpoints[end];
+            self.notify_closed(conn, end.process, end.incarnation, wait);
         }
+        self.redial_after(&connection, wait);
+    }
+
+    /// One end learns that a connection is closed.
+    pub(super) fn notify_closed(
+        &mut self,
+        conn: u64,
+        process: usize,
+        incarnation: u64,
+        wait: Millis,
+    ) {
+        self.after(wait, move |world| {
+            world.deliver_to_process(process, incarnation, move |world| {
+                world.net_event(process, NetEvent::Down { conn })
+            })
+        });
+    }
+
+    /// The end that dialled a connection, now closed, dials again.
+    pub(super) fn redial_after(&mut self, connection: &Connection, wait: Millis) {
+        let [dialler, listener] = &connection.endpoints;
         if let Some(addr) = self.processes[listener.process].addr {
             let dial = Dial {
                 process: dialler.process,
--- /dev/null
+++ b/testbed/tests/site/half_open.rs
@@ -0,0 +1,162 @@
+//! Connections that are dead at one end: a core that lost its power and is
+//! back must be reached at once by those that stayed up, although no reset tells
+//! them that their connections to it are dead.
+
+use super::growth::grown;
+use super::*;
+use sorreldoor::invariants::{break_only, Invariant};
+use sorreldoor::types::Millis;
+use testbed::site::HalfOpenFaults;
+
+/// How long the returning core is without power: back before anybody has missed
+/// it, and after its leader had to step down.
+const DOWN_MS: [Millis; 2] = [150, 1000];
+/// From its return until a change is acknowledged: its start and an election.
+const RECOVERY_MS: Millis = 1500;
+const LIMIT_MS: Millis = 12_000;
+
+/// A site of five voters and a standby. Two voters and the standby lose their
+/// power for good, and a third voter for a second: then all three that are left
+/// are needed, and the returning one must be reached in both directions.
+fn recovery_ms(seed: u64, down_ms: Millis, faults: HalfOpenFaults) -> Option<Millis> {
+    let mut world = grown(seed);
+    world.half_open_faults = faults;
+    assert!(growth::replace_configuration(&mut world, 0), "seed {seed}");
+    world.run_for(2000);
+    let voters = growth::voters(&world);
+    let leader = world.leader().expect("a leader");
+    let (is_voter, others): (Vec<usize>, Vec<usize>) = world
+        .cores()
+        .into_iter()
+        .filter(|core| *core != leader)
+        .partition(|core| voters.contains(&world.processes[*core].id));
+    let turn = (seed % 4) as usize;
+    let returning = is_voter[turn];
+    let lost = [is_voter[(turn + 1) % 4], is_voter[(turn + 2) % 4]];
+    for core in lost.into_iter().chain(others) {
+        world.power_off(core);
+    }
+    world.power_off(returning);
+    world.run_for(down_ms);
+    world.start(returning);
+    let returned_at = world.now;
+    while world.now < returned_at + LIMIT_MS {
+        let base = newest_version(&world);
+        let doc = testbed::fleet::configuration(&world.preset);
+        let change = world.change(leader, replacement(base, doc));
+        let end = world.now + 300;
+        world.run_until(end, |world| world.changes[change].outcome.is_some());
+        if was_committed(&world, change) {
+            let recovered = world.now - returned_at;
+            world.run_for(2000);
+            assert_no_violations(&world, seed);
+            return Some(recovered);
+        }
+    }
+    None
+}
+
+/// Times of recovery over many seeds; one that never recovered counts as the limit.
+fn recoveries(faults: HalfOpenFaults) -> Vec<Millis> {
+    let cases = seeds(41_000..41_016).flat_map(|seed| DOWN_MS.map(|down_ms| (seed, down_ms)));
+    let mut recovered: Vec<Millis> = cases
+        .map(|(seed, down_ms)| recovery_ms(seed, down_ms, faults).unwrap_or(LIMIT_MS))
+        .collect();
+    recovered.sort_unstable();
+    let (median, longest) = (
+        recovered[recovered.len() / 2],
+        recovered[recovered.len() - 1],
+    );
+    println!("median {median} ms, longest {longest} ms");
+    recovered
+}
+
+/// No reset ever comes through, and the system closes nothing by itself.
+const SILENT: HalfOpenFaults = HalfOpenFaults {
+    lost_reset_percent: 100,
+    user_timeout_ms: None,
+};
+
+#[test]
+fn a_returned_core_is_reached_although_no_reset_came() {
+    let recovered = recoveries(SILENT);
+    assert!(
+        recovered.iter().all(|ms| *ms <= RECOVERY_MS),
+        "{recovered:?}"
+    );
+}
+
+#[test]
+fn a_returned_core_is_reached_with_resets_and_time_outs() {
+    let recovered = recoveries(HalfOpenFaults::default());
+    assert!(
+        recovered.iter().all(|ms| *ms <= RECOVERY_MS),
+        "{recovered:?}"
+    );
+}
+
+/// Without the closing of superseded connections frames to the returned core are
+/// lost for as long as the old connection counts as open.
+#[test]
+fn superseded_connections_must_be_closed() {
+    break_only(Some(Invariant::Superseded));
+    let recovered = recoveries(SILENT);
+    break_only(None);
+    assert!(
+        recovered.iter().any(|ms| *ms > RECOVERY_MS),
+        "{recovered:?}"
+    );
+}
+
+/// A core closes its end of a connection that another has dialled, and the other
+/// is not told. The other's messages must take the connection that still
+/// receives, and the leader must not lose touch with its only quorum for longer.
+fn silently_closed_ms(seed: u64) -> Millis {
+    let mut world = grown(seed);
+    world.half_open_faults = SILENT;
+    assert!(growth::replace_configuration(&mut world, 0), "seed {seed}");
+    world.run_for(2000);
+    let leader = world.leader().expect("a leader");
+    for core in world.cores().into_iter().filter(|core| *core != leader) {
+        world.close_at_far_end(leader, core);
+    }
+    let closed_at = world.now;
+    while world.now < closed_at + LIMIT_MS {
+        let base = newest_version(&world);
+        let doc = testbed::fleet::configuration(&world.preset);
+        let change = world.change(leader, replacement(base, doc));
+        let end = world.now + 300;
+        world.run_until(end, |world| world.changes[change].outcome.is_some());
+        if was_committed(&world, change) {
+            break;
+        }
+    }
+    let restored = world.now - closed_at;
+    world.run_for(2000);
+    assert_no_violations(&world, seed);
+    restored
+}
+
+fn silently_closed_longest_ms() -> Millis {
+    let all = seeds(41_100..41_112).map(silently_closed_ms);
+    let longest = all.max().unwrap_or(0);
+    println!("longest {longest} ms");
+    longest
+}
+
+/// Frames take another connection once one has fallen silent.
+const OTHER_CONNECTION_MS: Millis = 2600;
+
+#[test]
+fn frames_take_the_connection_that_still_receives() {
+    let longest = silently_closed_longest_ms();
+    assert!(longest <= OTHER_CONNECTION_MS, "{longest}");
+}
+
+#[test]
+fn a_silent_connection_must_not_be_preferred() {
+    break_only(Some(Invariant::LiveConnection));
+    let longest = silently_closed_longest_ms();
+    break_only(None);
+    assert!(longest > OTHER_CONNECTION_MS, "{longest}");
+}
