--- a/sorreldoor/src/control_plane/client.rs
+++ b/sorreldoor/src/control_plane/client.rs
@@ -2,6 +2,7 @@
 //! event for the reducer, and the task waits for the reply.
 
 use super::events::ControllerEvent;
+use crate::metrics::CoreFigures;
 use crate::replicated_state::{Command, View};
 use crate::runtime::EventSender;
 use crate::types::{NodeId, ProposalId};
@@ -83,6 +84,7 @@
     /// Time within which a change should be acknowledged.
     ack_ms: u64,
     endpoints: Arc<Mutex<Arc<Vec<EdgeEndpoint>>>>,
+    figures: Arc<Mutex<CoreFigures>>,
 }
 
 impl ControllerClient {
@@ -95,6 +97,7 @@
             pending: PendingRequests::default(),
             ack_ms,
             endpoints: Arc::default(),
+            figures: Arc::default(),
         }
     }
 
@@ -177,6 +180,16 @@
         locked(&self.endpoints).clone()
     }
 
+    /// The core's metrics, as last published.
+    #[must_use]
+    pub fn figures(&self) -> CoreFigures {
+        *locked(&self.figures)
+    }
+
+    pub(super) fn publish_figures(&self, figures: CoreFigures) {
+        *locked(&self.figures) = figures;
+    }
+
     pub(super) fn publish_endpoints(&self, endpoints: &Arc<Vec<EdgeEndpoint>>) {
         let mut published = locked(&self.endpoints);
         if !Arc::ptr_eq(&published, endpoints) {
--- a/sorreldoor/src/control_plane/controller/mod.rs
+++ b/sorreldoor/src/control_plane/controller/mod.rs
@@ -6,6 +6,7 @@
 mod changes;
 mod consensus;
 mod edges;
+mod figures;
 mod frames;
 mod idempotency_keys;
 mod membership;
--- a/sorreldoor/src/control_plane/daemon.rs
+++ b/sorreldoor/src/control_plane/daemon.rs
@@ -12,6 +12,7 @@
 use crate::consensus::Member;
 use crate::http;
 use crate::log_events::{log_event, LogEvent};
+use crate::metrics::{self, CORE_METRICS};
 use crate::net::{Net, NetEvent};
 use crate::order_id::random_id;
 use crate::replicated_state::decode;
@@ -27,6 +28,8 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+/// Between two publications of the metrics.
+const FIGURES_INTERVAL: Duration = Duration::from_millis(500);
 /// Events that may wait for the controller.
 const EVENT_QUEUE: usize = 4096;
 /// A stopping core runs on for this long, so that what was just acknowledged
@@ -97,6 +100,7 @@
     log_event(LogEvent::Started, format!("core {node} ({id:x})"));
     log_event(LogEvent::Listening, format!("frames {address}"));
     server.start(client.clone(), gate.clone())?;
+    start_metrics(&settings, &client)?;
     start_event_sources(&settings, source.as_ref(), &events)?;
     let storage = StorageDriver::start(wrap_store(store), events.clone());
     let mut daemon = Daemon {
@@ -108,6 +112,7 @@
         events,
         gate,
         stop_at: None,
+        figures_at: Instant::now(),
     };
     runtime::run_event_loop(&mut controller, &clock, &mut daemon, &queue);
     log_event(LogEvent::Stopped, "core");
@@ -170,6 +175,18 @@
     }
 }
 
+/// Serves the core's metrics, where the settings ask for them.
+fn start_metrics(settings: &Settings, client: &ControllerClient) -> Result<(), StartError> {
+    let Some(endpoint) = settings.metrics.clone() else {
+        return Ok(());
+    };
+    let listener = bind("metrics", endpoint.address(settings.http.ip()))?;
+    let client = client.clone();
+    let encode = move || metrics::encode(CORE_METRICS, client.figures());
+    task::spawn(metrics::serve(listener, endpoint, encode));
+    Ok(())
+}
+
 /// Starts the tasks that send ticks, the stop signal and, where every core
 /// reads them, lists of workers.
 fn start_event_sources(
@@ -198,12 +215,15 @@
     gate: http::Gate,
     /// When to end, once the process was told to stop.
     stop_at: Option<Instant>,
+    /// When the metrics are published next.
+    figures_at: Instant,
 }
 
 impl<S: Store + 'static> EffectHandler<Controller> for Daemon<S> {
     fn keeps_running(&mut self, controller: &Controller) -> bool {
         let endpoints = &controller.endpoints().endpoints;
         self.client.publish_endpoints(endpoints);
+        self.publish_figures(controller);
         if controller.is_leaving() && self.stop_at.is_none() {
             log_event(LogEvent::ShuttingDown, "core");
             self.stop_at = Some(Instant::now() + STOP_DELAY);
@@ -257,6 +277,14 @@
 }
 
 impl<S> Daemon<S> {
+    fn publish_figures(&mut self, controller: &Controller) {
+        let now = Instant::now();
+        if self.settings.metrics.is_some() && now >= self.figures_at {
+            self.figures_at = now + FIGURES_INTERVAL;
+            self.client.publish_figures(controller.figures());
+        }
+    }
+
     fn reply_state(&self, controller: &Controller, request_id: u64, proved: bool, status: String) {
         let consensus = controller.consensus();
         let view = consensus.map(|consensus| consensus.state_machine().view());
--- a/sorreldoor/src/lib.rs
+++ b/sorreldoor/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod invariants;
 pub mod json;
 pub mod log_events;
+pub mod metrics;
 pub mod net;
 pub mod operator_api;
 pub mod order_id;
--- /dev/null
+++ b/sorreldoor/src/metrics/edge_metrics.rs
@@ -0,0 +1,102 @@
+//! The metrics of an edge that serves hosted routes.
+
+use super::{Kind, Metric};
+use crate::balancer::Counts;
+
+/// What an edge's metrics are read from.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct EdgeFigures {
+    /// It has a configuration and workers, and is not shutting down.
+    pub ready: bool,
+    /// Version of the configuration that is applied.
+    pub configuration_version: u64,
+    /// Edges that clients are sent to.
+    pub ready_edges: u64,
+    /// The balancer's counters.
+    pub counts: Counts,
+}
+
+const fn counter(
+    name: &'static str,
+    help: &'static str,
+    value: fn(&EdgeFigures) -> u64,
+) -> Metric<EdgeFigures> {
+    Metric {
+        name,
+        kind: Kind::Counter,
+        help,
+        value,
+    }
+}
+
+const fn gauge(
+    name: &'static str,
+    help: &'static str,
+    value: fn(&EdgeFigures) -> u64,
+) -> Metric<EdgeFigures> {
+    Metric {
+        name,
+        kind: Kind::Gauge,
+        help,
+        value,
+    }
+}
+
+/// The metrics of an edge.
+pub const EDGE_METRICS: &[Metric<EdgeFigures>] = &[
+    gauge(
+        "ready",
+        "1 if this edge has a configuration and workers, and is not shutting down.",
+        |f| f.ready.into(),
+    ),
+    gauge(
+        "configuration_version",
+        "Version of the configuration that is applied; 0 before the first.",
+        |f| f.configuration_version,
+    ),
+    gauge("ready_edges", "Edges that clients are sent to.", |f| {
+        f.ready_edges
+    }),
+    counter("requests", "Requests begun.", |f| f.counts.begun),
+    gauge("requests_in_flight", "Requests in progress.", |f| {
+        f.counts.open
+    }),
+    counter("attempts_served", "Attempts answered completely.", |f| {
+        f.counts.served
+    }),
+    counter(
+        "rejections",
+        "Decisions to send no (further) attempt.",
+        |f| f.counts.rejected,
+    ),
+    counter(
+        "retries",
+        "Attempts beyond the first of their request that reached a worker.",
+        |f| f.counts.retried,
+    ),
+    counter(
+        "requests_queued",
+        "Requests that waited for a worker.",
+        |f| f.counts.waited,
+    ),
+    gauge("queue_length", "Requests that wait for a worker.", |f| {
+        f.counts.waiting
+    }),
+    counter("ejections", "Workers ejected by outlier detection.", |f| {
+        f.counts.ejections
+    }),
+    gauge("workers_ejected", "Workers that are ejected.", |f| {
+        f.counts.ejected
+    }),
+    gauge("workers", "Workers of the registry.", |f| f.counts.workers),
+    counter(
+        "prompt_cached_tokens",
+        "Prompt tokens expected in the prefix caches of workers, over all attempts.",
+        |f| f.counts.cached_tokens,
+    ),
+    counter(
+        "prompt_prefill_tokens",
+        "Prompt tokens left for prefill, over all attempts.",
+        |f| f.counts.prefill_tokens,
+    ),
+];
--- a/sorreldoor/src/proxy/controller.rs
+++ b/sorreldoor/src/proxy/controller.rs
@@ -6,6 +6,7 @@
 use crate::configuration::Site;
 use crate::discovery::WorkerRegistry;
 use crate::log_events::LogEvent;
+use crate::metrics::EdgeFigures;
 use crate::net::{Conn, NetEvent};
 use crate::replicated_state::{DocumentDelta, StateUpdate, View};
 use crate::runtime::{Now, Prioritized, Reducer};
@@ -165,6 +166,16 @@
         !self.draining && self.balancer.hosted().is_some() && self.subscription.have.registry > 0
     }
 
+    /// What this node's metrics are read from.
+    pub fn figures(&self) -> EdgeFigures {
+        EdgeFigures {
+            ready: self.ready(),
+            configuration_version: self.view.version,
+            ready_edges: self.ready_edges().len() as u64,
+            counts: self.balancer.counts(),
+        }
+    }
+
     /// The ready edges as this one knows them, with itself.
     pub fn ready_edges(&self) -> Vec<ReadyEdge> {
         let own = ReadyEdge {
--- a/sorreldoor/src/proxy/daemon.rs
+++ b/sorreldoor/src/proxy/daemon.rs
@@ -10,6 +10,7 @@
 };
 use crate::balancer::{Balancer, Bounds, Locality};
 use crate::log_events::{log_event, LogEvent};
+use crate::metrics::{self, EDGE_METRICS};
 use crate::net::{Net, NetEvent};
 use crate::order_id::random_id;
 use crate::runtime::{event_queue, Clock, EventReceiver, Reducer};
@@ -73,6 +74,12 @@
             let handler = request_handler(shared.clone(), endpoint.handler);
             task::spawn(serve_status_endpoint(listener, handler));
         }
+        if let Some(endpoint) = settings.metrics.clone() {
+            let listener = bind("metrics", endpoint.address(settings.http.ip())).await?;
+            let shared = shared.clone();
+            let encode = move || metrics::encode(EDGE_METRICS, shared.lock().figures());
+            task::spawn(metrics::serve(listener, endpoint, encode));
+        }
         log_event(LogEvent::Started, format!("edge {}", settings.node));
         task::spawn(accept(clients, shared.clone(), settings.max_connections));
         run_controller(shared, net, received, grace, &settings).await;
--- a/sorreldoor/src/settings/mod.rs
+++ b/sorreldoor/src/settings/mod.rs
@@ -5,6 +5,7 @@
 
 use crate::configuration::Site;
 use crate::json::{self, Faults};
+use crate::metrics::MetricsEndpoint;
 use crate::pacing::Pacing;
 use crate::types::{Millis, RegionId};
 use std::collections::BTreeMap;
@@ -66,6 +67,8 @@
     pub tolerate_zones: usize,
     /// This core may vote; else it is a learner.
     pub voting: bool,
+    /// Where it shows its metrics, on the address of `http`; `None`: nowhere.
+    pub metrics: Option<MetricsEndpoint>,
     /// Intervals and optional traffic.
     pub pacing: Pacing,
 }
--- a/sorreldoor/src/settings/parse.rs
+++ b/sorreldoor/src/settings/parse.rs
@@ -3,6 +3,7 @@
 use super::{Overrides, Role, Settings};
 use crate::configuration::Site;
 use crate::json::{self, Faults, ObjectReader, Value};
+use crate::metrics::MetricsEndpoint;
 use crate::pacing::{self, Pacing};
 use simd_json::prelude::*;
 use std::collections::{BTreeMap, BTreeSet};
@@ -16,7 +17,8 @@
 const MAX_CLAIMS: RenamedKey = RenamedKey::new("max_claims", "most_claims");
 
 /// Keys that have one name only, those of `pacing` apart.
-const KEYS: [&str; 19] = [
+const KEYS: [&str; 20] = [
+    "metrics",
     "site",
     "regions",
     "node",
@@ -81,6 +83,17 @@
     keys.chain(pacing::KEYS).collect()
 }
 
+fn metrics_endpoint(object: &ObjectReader, faults: &mut Faults) -> Option<MetricsEndpoint> {
+    let text = object.text("metrics", faults)?;
+    match text.parse() {
+        Ok(endpoint) => Some(endpoint),
+        Err(error) => {
+            faults.add("metrics", error);
+            None
+        }
+    }
+}
+
 /// Parses all settings; the result counts only if there is no fault.
 pub(super) fn settings(
     value: &Value,
@@ -146,6 +159,7 @@
         tolerate_nodes: tolerate_nodes.map(|nodes| nodes as usize),
         tolerate_zones: tolerate_zones.unwrap_or(1) as usize,
         voting,
+        metrics: metrics_endpoint(&object, faults),
         pacing: Pacing::read(&object, faults),
     })
 }
--- a/sorreldoor/tests/pages.rs
+++ b/sorreldoor/tests/pages.rs
@@ -3,6 +3,7 @@
 use sorreldoor::configuration;
 use sorreldoor::error::ErrorCode;
 use sorreldoor::log_events::LogEvent;
+use sorreldoor::metrics::{Kind, Metric, CORE_METRICS, EDGE_METRICS};
 use sorreldoor::settings::{Overrides, Role, Settings};
 use std::collections::BTreeSet;
 use std::path::{Path, PathBuf};
@@ -68,6 +69,30 @@
     assert_generated("docs/problems.md", &table);
 }
 
+fn metric_rows<F>(table: &[Metric<F>]) -> String {
+    let row = |metric: &Metric<F>| {
+        let kind = match metric.kind {
+            Kind::Counter => "counter",
+            Kind::Gauge => "gauge",
+        };
+        format!(
+            "| `{}` | {kind} | {} |\n",
+            metric.exposed_name(),
+            metric.help
+        )
+    };
+    let head = "| metric | kind | meaning |\n| --- | --- | --- |\n";
+    head.to_string() + &table.iter().map(row).collect::<String>()
+}
+
+#[test]
+fn the_metrics_are_generated_from_the_code() {
+    let core = metric_rows(CORE_METRICS);
+    let edge = metric_rows(EDGE_METRICS);
+    let tables = format!("### Cores\n\n{core}\n### Edges\n\n{edge}");
+    assert_generated("docs/metrics.md", &tables);
+}
+
 #[test]
 fn the_doctors_page_lists_every_rule() {
     let text = read_page("docs/doctor.md");
