Elections: deaf candidates, silent relays and lost regions cost no time-outs

A node now yields at a rival's first pre-vote only, and members that took no part in an election have a quarter of the region time-out to answer. A closed connection ends the relay at once, silence ends it after two thirds of the time-out.

--- a/sorreldoor/src/consensus/election.rs
+++ b/sorreldoor/src/consensus/election.rs
@@ -62,6 +62,10 @@
             self.domain_leader_known = false;
             self.domain_election_deadline = self.domain_election_deadline.min(soon);
         }
+        // what it would have relayed goes to its region directly
+        if self.role == Role::Leader {
+            self.domain_leaders.retain(|_, leader| leader.id != id);
+        }
         if self.global_leader == Some(id) {
             self.leader_suspected = true;
             self.election_deadline = self.election_deadline.min(soon);
@@ -183,13 +187,23 @@
             && !rival
             && term > self.hard_state.term
             && !self.disk_stalled();
-        if granted && self.role == Role::PreCandidate {
+        let yields = granted && self.yields_to(from);
+        if yields && self.role == Role::PreCandidate {
             self.role = Role::Follower;
             self.reset_election_deadline();
         }
         granted
     }
 
+    /// Whether this node, which grants a pre-vote to `rival`, gives up a campaign
+    /// of its own for it: at the first pre-vote while there is no leader. A rival
+    /// that comes again did not win with the first; it may hear no answers at
+    /// all, and must not keep others from campaigning.
+    fn yields_to(&mut self, rival: NodeId) -> bool {
+        let first_time = self.pre_votes_granted.insert(rival);
+        first_time || self.timing.injected_fault == InjectedFault::YieldAlways
+    }
+
     fn grant_vote(&mut self, from: NodeId, term: u64, last: LogPosition) -> bool {
         if term > self.hard_state.term {
             self.become_follower(term, None);
--- a/sorreldoor/src/consensus/follower.rs
+++ b/sorreldoor/src/consensus/follower.rs
@@ -51,6 +51,7 @@
         self.leader_heard_at = self.now;
         self.leader_known_at = Some(self.now);
         self.leader_suspected = false;
+        self.pre_votes_granted.clear();
         self.leader_round = self.leader_round.max(round);
         self.reset_election_deadline();
         self.missed_elections = 0;
--- a/sorreldoor/src/consensus/leader.rs
+++ b/sorreldoor/src/consensus/leader.rs
@@ -7,8 +7,9 @@
 use super::role::Role;
 use super::save::Save;
 use super::state_machine::StateMachine;
+use super::timing::InjectedFault;
 use crate::invariants::{broken, Invariant};
-use crate::types::NodeId;
+use crate::types::{Millis, NodeId};
 
 impl<M: StateMachine> Consensus<M> {
     /// Become the Global Leader after a won election.
@@ -40,7 +41,8 @@
         self.uncommitted_proposals.clear();
         self.unavailable_regions.clear();
         for id in self.others() {
-            let progress = Progress::active_from(next_index, self.now);
+            let heard_at = self.heard_in_election(id);
+            let progress = Progress::active_from(next_index, heard_at);
             self.progress.insert(id, progress);
         }
         for index in self.committed + 1..next_index {
@@ -51,6 +53,18 @@
         }
     }
 
+    /// When a member counts as heard from as this node's term of office begins. One
+    /// that took no part in the election has a quarter of the time-out left to
+    /// answer, so that commits don't wait for a region that was lost before.
+    fn heard_in_election(&self, id: NodeId) -> Millis {
+        let took_part = self.election.votes.contains(&id);
+        if took_part || self.timing.injected_fault == InjectedFault::WaitForSilentRegions {
+            return self.now;
+        }
+        let timeout = self.timing.region_timeout;
+        self.now.saturating_sub(timeout - timeout / 4)
+    }
+
     /// As Global Leader: append an entry to the log and replicate it.
     pub(super) fn append(&mut self, entry: Entry) {
         let index = self.log.last().index + 1;
--- a/sorreldoor/src/consensus/replication.rs
+++ b/sorreldoor/src/consensus/replication.rs
@@ -10,7 +10,8 @@
 use super::quorum;
 use super::role::Role;
 use super::state_machine::StateMachine;
-use crate::types::NodeId;
+use super::timing::InjectedFault;
+use crate::types::{Millis, NodeId};
 
 /// Bytes of entries in flight to one member at most.
 const APPEND_WINDOW_BYTES: usize = 64 * 1024;
@@ -41,7 +42,7 @@
     /// other Domain Leaders, and regions without one.
     fn replication_targets(&self) -> Vec<NodeId> {
         let own = self.region();
-        let live = self.now.saturating_sub(self.timing.region_timeout);
+        let live = self.now.saturating_sub(self.relay_timeout());
         let members = self.log.members();
         let relay = |region| {
             self.domain_leaders.get(&region).filter(|leader| {
@@ -58,6 +59,16 @@
             .collect()
     }
 
+    /// Silence after which a Domain Leader isn't relied on to relay: early enough
+    /// for its region to answer a direct append before this leader steps down for
+    /// want of a quorum.
+    fn relay_timeout(&self) -> Millis {
+        if self.timing.injected_fault == InjectedFault::KeepSilentRelay {
+            return self.timing.region_timeout;
+        }
+        self.timing.region_timeout * 2 / 3
+    }
+
     /// Send a new round of heartbeats, by whose echo reads are proved.
     pub(super) fn broadcast_heartbeat(&mut self) {
         self.heartbeat_round += 1;
--- a/sorreldoor/src/consensus/timing.rs
+++ b/sorreldoor/src/consensus/timing.rs
@@ -61,6 +61,12 @@
     KeepConflictingLog,
     /// Keep no entries behind a new snapshot for receivers of the last one.
     CompactWithoutTail,
+    /// Rely on a silent Domain Leader to relay for as long as on its region.
+    KeepSilentRelay,
+    /// Give up a campaign for the same rival again and again.
+    YieldAlways,
+    /// After an election, wait for regions that took no part in it.
+    WaitForSilentRegions,
     /// During a change of voters, require a majority of the new set only.
     IgnoreOutgoingVoters,
 }
--- a/sorreldoor/src/subscription/mod.rs
+++ b/sorreldoor/src/subscription/mod.rs
@@ -245,6 +245,8 @@
         self.hedge_alarm(now, &mut out);
         if self.held != self.lease(now) {
             self.held = !self.held;
+            // the cores should know at once whether this edge serves
+            self.renew_at = now;
             out.push(if self.held {
                 SubscriptionEffect::LeaseRenewed
             } else {
--- a/testbed/tests/conformance/main.rs
+++ b/testbed/tests/conformance/main.rs
@@ -3,6 +3,7 @@
 mod answers;
 mod elections;
 mod losses;
+mod lost_links;
 
 use sorreldoor::consensus::Timing;
 use sorreldoor::types::RegionId;
--- a/testbed/tests/site/support.rs
+++ b/testbed/tests/site/support.rs
@@ -15,10 +15,14 @@
     assert!(violations.is_empty(), "seed {seed}: {violations:#?}");
 }
 
+/// How often each range of seeds is run, with others each time, unless
+/// SORRELDOOR_SEEDS says otherwise.
+const DEFAULT_TIMES: u64 = 2;
+
 /// The seeds of a test, and as many more times over as SORRELDOOR_SEEDS says.
 pub fn seeds(range: std::ops::Range<u64>) -> impl Iterator<Item = u64> {
     let times = std::env::var("SORRELDOOR_SEEDS").ok();
-    let times: u64 = times.and_then(|n| n.parse().ok()).unwrap_or(1);
+    let times: u64 = times.and_then(|n| n.parse().ok()).unwrap_or(DEFAULT_TIMES);
     (0..times).flat_map(move |k| range.clone().map(move |seed| seed + k * 10_000))
 }
 
