--- a/sorreldoor/src/control_plane/api.rs
+++ b/sorreldoor/src/control_plane/api.rs
@@ -3,12 +3,12 @@
 
 use super::client::{ControllerClient, StateSnapshot};
 use super::integration::{bind, OperatorServer};
-use super::start_error::StartError;
 use crate::error::ErrorCode;
 use crate::http;
 use crate::log_events::{log_event, LogEvent};
 use crate::operator_api::{self, OperatorRequest};
 use crate::settings::Settings;
+use crate::start_error::StartError;
 use async_std::task;
 use http_types::{Method, Request, Response};
 use std::sync::Arc;
--- a/sorreldoor/src/control_plane/daemon.rs
+++ b/sorreldoor/src/control_plane/daemon.rs
@@ -7,7 +7,6 @@
 use super::integration::{bind, HttpWorkerSource, OperatorServer, WorkerSource};
 use super::membership::Policy;
 use super::polling::{poll_loads, read_workers, watch_workers};
-use super::start_error::{NoListenAddressSnafu, StartError};
 use super::storage_driver::{self, StorageDriver};
 use crate::consensus::Member;
 use crate::http;
@@ -18,12 +17,13 @@
 use crate::replicated_state::decode;
 use crate::runtime::{self, EffectHandler, EventSender};
 use crate::settings::Settings;
+use crate::start_error::{NoListenAddressSnafu, SignalsSnafu, StartError};
 use crate::store::{Directory, DurableStore, Store};
 use crate::wire::Hello;
 use async_std::net::TcpListener;
 use async_std::task;
 use simd_json::prelude::*;
-use snafu::OptionExt;
+use snafu::{OptionExt, ResultExt};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -196,8 +196,7 @@
 ) -> Result<(), StartError> {
     let interval = Duration::from_millis(settings.pacing.tick_ms);
     crate::run::ticker(events.clone(), interval, || ControllerEvent::Tick);
-    crate::run::on_term(events.clone(), || ControllerEvent::Stop)
-        .map_err(|reason| StartError::Signals { reason })?;
+    crate::run::on_term(events.clone(), || ControllerEvent::Stop).context(SignalsSnafu)?;
     if let Some(source) = source.filter(|source| source.is_versioned()) {
         task::spawn(watch_workers(source.clone(), events.clone()));
     }
--- a/sorreldoor/src/control_plane/integration.rs
+++ b/sorreldoor/src/control_plane/integration.rs
@@ -2,10 +2,10 @@
 //! list of workers is read, and who serves its operators.
 
 use super::client::ControllerClient;
-use super::start_error::{BindSnafu, StartError};
 use crate::discovery::{self, WorkerRegistry};
 use crate::http::{self, Call};
 use crate::settings::Settings;
+use crate::start_error::{BindSnafu, StartError};
 use async_std::net::TcpListener;
 use async_std::task;
 use snafu::ResultExt;
--- a/sorreldoor/src/control_plane/mod.rs
+++ b/sorreldoor/src/control_plane/mod.rs
@@ -38,12 +38,12 @@
 mod reads;
 mod sessions;
 mod singleton;
-mod start_error;
 mod status;
 mod storage_driver;
 pub mod updates;
 pub mod worker_list;
 
+pub use crate::start_error::StartError;
 pub use api::{Api, HttpOperatorServer};
 pub use client::{ControllerClient, ControllerReply, PendingRequests, StateSnapshot};
 pub use controller::Controller;
@@ -52,4 +52,3 @@
 pub use idempotency::RETENTION_MS;
 pub use integration::{bind, BoxFuture, HttpWorkerSource, OperatorServer, WorkerSource};
 pub use sessions::EndpointList;
-pub use start_error::StartError;
--- a/sorreldoor/src/control_plane/storage_driver.rs
+++ b/sorreldoor/src/control_plane/storage_driver.rs
@@ -2,11 +2,11 @@
 //! and retried after an error.
 
 use super::events::ControllerEvent;
-use super::start_error::{OpenStoreSnafu, StartError};
 use crate::consensus::Save;
 use crate::log_events::{log_event, LogEvent};
 use crate::replicated_state::{decode, encode};
 use crate::runtime::EventSender;
+use crate::start_error::{OpenStoreSnafu, StartError};
 use crate::store::{Directory, DurableStore, OpenedStore, Store};
 use async_std::channel::{bounded, Receiver, Sender};
 use snafu::ResultExt;
--- a/sorreldoor/src/gateway/run.rs
+++ b/sorreldoor/src/gateway/run.rs
@@ -13,10 +13,12 @@
 use crate::net::{Net, NetEvent};
 use crate::runtime::{self, Clock, EffectHandler};
 use crate::settings::Settings;
+use crate::start_error::{BindSnafu, SignalsSnafu, StartError};
 use crate::subscription::Pull;
 use async_std::channel::{bounded, Receiver, Sender};
 use async_std::net::TcpListener;
 use async_std::task;
+use snafu::ResultExt;
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -36,7 +38,7 @@
 ///
 /// # Errors
 /// What could not be started: a listener, or the signal handlers.
-pub fn run(settings: Settings) -> Result<(), String> {
+pub fn run(settings: Settings) -> Result<(), StartError> {
     run_with(settings, runtime::SystemClock::default())
 }
 
@@ -44,11 +46,14 @@
 ///
 /// # Errors
 /// As for [`run`].
-pub fn run_with<C: Clock>(settings: Settings, clock: C) -> Result<(), String> {
+pub fn run_with<C: Clock>(settings: Settings, clock: C) -> Result<(), StartError> {
     let settings = Arc::new(settings);
     let (events, event_queue) = runtime::event_queue(EVENT_QUEUE);
-    let listener = task::block_on(TcpListener::bind(settings.http))
-        .map_err(|e| format!("http: cannot bind {}: {e}", settings.http))?;
+    let address = settings.http;
+    let listener = task::block_on(TcpListener::bind(address)).context(BindSnafu {
+        setting: "http",
+        address,
+    })?;
     let mut controller = new_controller(&settings, &clock);
     let calls = PendingCalls::default();
     let net = Net::new(
@@ -73,7 +78,7 @@
     log_event(LogEvent::Started, format!("edge {}", settings.node));
     log_event(LogEvent::Listening, format!("http {}", settings.http));
     crate::run::ticker(events.clone(), TICK, || EdgeEvent::Tick);
-    crate::run::on_term(events.clone(), || EdgeEvent::Shutdown)?;
+    crate::run::on_term(events.clone(), || EdgeEvent::Shutdown).context(SignalsSnafu)?;
     let mut daemon = Daemon {
         net,
         settings,
--- a/sorreldoor/src/gateway/session.rs
+++ b/sorreldoor/src/gateway/session.rs
@@ -120,12 +120,7 @@
             self.cluster.apply_edge_sessions(edge_sessions);
         }
         if let Some((version, cores)) = delta.cores {
-            self.pull.have.cores = version;
-            let own_region = self.hello.region;
-            let cores = cores
-                .iter()
-                .filter_map(|(addr, region)| Some((addr.parse().ok()?, *region == own_region)));
-            self.pull.take_cores(cores.collect());
+            self.pull.update_cores(version, &cores, self.hello.region);
         }
     }
 
--- a/sorreldoor/src/lib.rs
+++ b/sorreldoor/src/lib.rs
@@ -29,6 +29,7 @@
 mod run;
 pub mod runtime;
 pub mod settings;
+pub mod start_error;
 pub mod store;
 pub mod subscription;
 pub mod types;
--- a/sorreldoor/src/main.rs
+++ b/sorreldoor/src/main.rs
@@ -112,7 +112,7 @@
         return 0;
     }
     let result = match role {
-        Role::Core => sorreldoor::control_plane::run(settings).map_err(|e| e.to_string()),
+        Role::Core => sorreldoor::control_plane::run(settings),
         Role::Edge => sorreldoor::gateway::run(settings),
     };
     result.map_or_else(
--- a/sorreldoor/src/proxy/controller.rs
+++ b/sorreldoor/src/proxy/controller.rs
@@ -300,20 +300,11 @@
             self.update_edges(endpoints);
         }
         if let Some((version, cores)) = delta.cores {
-            self.subscription.have.cores = version;
-            self.update_cores(&cores);
+            let own_region = self.identity.region;
+            self.subscription.update_cores(version, &cores, own_region);
         }
     }
 
-    fn update_cores(&mut self, cores: &[(String, u8)]) {
-        let own_region = self.identity.region;
-        let parsed = cores.iter().filter_map(|(addr, region)| {
-            let addr = addr.parse().ok()?;
-            Some((addr, *region == own_region))
-        });
-        self.subscription.take_cores(parsed.collect());
-    }
-
     fn apply_registry(&mut self, registry: &WorkerRegistry) {
         // lists arrive by more than one way, and an older one may arrive later
         if registry.version > self.subscription.have.registry {
--- a/sorreldoor/src/proxy/daemon.rs
+++ b/sorreldoor/src/proxy/daemon.rs
@@ -15,10 +15,12 @@
 use crate::order_id::random_id;
 use crate::runtime::{event_queue, Clock, EventReceiver, Reducer};
 use crate::settings::Settings;
+use crate::start_error::{BindSnafu, SignalsSnafu, StartError};
 use crate::subscription::Pull;
 use async_std::future::timeout;
 use async_std::net::TcpListener;
 use async_std::task;
+use snafu::ResultExt;
 use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
@@ -50,7 +52,7 @@
     dialect: D,
     clock: C,
     endpoints: Vec<StatusEndpoint>,
-) -> Result<(), String> {
+) -> Result<(), StartError> {
     let ProxyOptions {
         settings,
         bounds,
@@ -66,7 +68,7 @@
         ControllerEvent::Net as fn(NetEvent) -> ControllerEvent,
         settings.max_connections,
     );
-    crate::run::on_term(events, || ControllerEvent::Stop)?;
+    crate::run::on_term(events, || ControllerEvent::Stop).context(SignalsSnafu)?;
     task::block_on(async move {
         let clients = bind("http", settings.http).await?;
         for endpoint in endpoints {
@@ -109,10 +111,9 @@
     ProxyController::new(identity, settings.names.clone(), subscription, balancer)
 }
 
-async fn bind(name: &str, addr: SocketAddr) -> Result<TcpListener, String> {
-    TcpListener::bind(addr)
-        .await
-        .map_err(|e| format!("{name}: cannot bind {addr}: {e}"))
+async fn bind(setting: &'static str, address: SocketAddr) -> Result<TcpListener, StartError> {
+    let bound = TcpListener::bind(address).await;
+    bound.context(BindSnafu { setting, address })
 }
 
 fn request_handler<D: Dialect, C: Clock + Send + Sync + 'static>(
--- a/sorreldoor/src/run.rs
+++ b/sorreldoor/src/run.rs
@@ -5,6 +5,7 @@
 use crate::runtime::{EventSender, Prioritized, SendError};
 use crate::settings::Settings;
 use crate::wire::Hello;
+use std::io;
 use std::thread;
 use std::time::Duration;
 
@@ -28,16 +29,15 @@
 ///
 /// # Errors
 /// The signal handlers could not be installed.
-pub fn on_term<E>(events: EventSender<E>, stop: fn() -> E) -> Result<(), String>
+pub fn on_term<E>(events: EventSender<E>, stop: fn() -> E) -> io::Result<()>
 where
     E: Prioritized + Send + 'static,
 {
     use signal_hook::consts::{SIGINT, SIGTERM};
-    let mut s = signal_hook::iterator::Signals::new([SIGTERM, SIGINT])
-        .map_err(|e| format!("signals: {e}"))?;
+    let mut signals = signal_hook::iterator::Signals::new([SIGTERM, SIGINT])?;
     thread::spawn(move || {
-        for (i, _) in s.forever().enumerate() {
-            if i > 0 {
+        for (earlier, _) in signals.forever().enumerate() {
+            if earlier > 0 {
                 std::process::exit(1);
             }
             let _ = events.send_blocking(stop());
--- a/sorreldoor/src/control_plane/start_error.rs
+++ b/sorreldoor/src/start_error.rs
@@ -1,11 +1,11 @@
-//! Why a core cannot start.
+//! Why a node cannot start.
 
 use snafu::Snafu;
 use std::io;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
-/// Why a core cannot start. Each needs a change of the settings or of the
+/// Why a node cannot start. Each needs a change of the settings or of the
 /// machine; to start it again unchanged is of no use.
 #[derive(Debug, Snafu)]
 #[snafu(visibility(pub))]
@@ -35,9 +35,9 @@
     },
 
     /// The handler for the stop signals cannot be installed.
-    #[snafu(display("{reason}"))]
+    #[snafu(display("signals: {source}"))]
     Signals {
-        /// What failed, in words.
-        reason: String,
+        /// Why it cannot be installed.
+        source: io::Error,
     },
 }
--- a/sorreldoor/src/subscription/mod.rs
+++ b/sorreldoor/src/subscription/mod.rs
@@ -367,6 +367,16 @@
         }
     }
 
+    /// Takes the cores of a delta, by address and region, under their version.
+    pub fn update_cores(&mut self, version: u64, cores: &[(String, u8)], own_region: u8) {
+        self.have.cores = version;
+        let parsed = cores.iter().filter_map(|(address, region)| {
+            let address = address.parse().ok()?;
+            Some((address, *region == own_region))
+        });
+        self.take_cores(parsed.collect());
+    }
+
     /// Takes the cores as the site has them now, with whether each is in the
     /// region of the edge; those are tried first.
     pub fn take_cores(&mut self, mut cores: Vec<(SocketAddr, bool)>) {
--- a/testbed/src/faulty_node.rs
+++ b/testbed/src/faulty_node.rs
@@ -109,6 +109,6 @@
     match role {
         Role::Core => sorreldoor::control_plane::run_by(set, clock, |s| FaultyStore(s, faults))
             .map_err(|e| e.to_string()),
-        Role::Edge => sorreldoor::gateway::run_with(set, clock),
+        Role::Edge => sorreldoor::gateway::run_with(set, clock).map_err(|e| e.to_string()),
     }
 }
