A worker of a quiet stream is released when its client leaves

Cause: after a stream's head the relay waited for the worker alone; a client that left in a quiet stretch was noticed when a later event was written, or at the deadline (2.97 s in the test). A stream quiet for 150 ms is watched for its client too; while events flow nothing is added. Tests: 40 requests on one kept connection to a worker that ends its connections, crossed and resting requests, and clients that leave before and after the first event.

--- a/sorreldoor/src/proxy/upstream/stream_relay.rs
+++ b/sorreldoor/src/proxy/upstream/stream_relay.rs
@@ -19,6 +19,9 @@
 
 /// The shortest time-out between events, in milliseconds.
 const MIN_EVENT_TIMEOUT_MS: Millis = 400;
+/// A stream that has been quiet for so long is watched for its client's leaving,
+/// too; while events flow, writing them shows it.
+const QUIET_MS: Millis = 150;
 /// The time-out without a latency target: far beyond any deadline.
 const NO_TIMEOUT_MS: Millis = Millis::MAX / 4;
 const LAST_CHUNK: &[u8] = b"0\r\n\r\n";
@@ -63,6 +66,7 @@
         first: true,
     };
     let mut check_at = relay.forwarded_at.saturating_add(timeout);
+    let mut quiet = false;
     loop {
         let Ok(complete) = decoder.decode(&mut connection.buffer, &mut received) else {
             return relay.fail(connection, Event::Malformed);
@@ -91,13 +95,21 @@
             }
             check_at = now + FAILOVER_CHECK_MS;
         }
-        let wait_ms = check_at.min(exchange.deadline) - now;
-        match wait_for_worker(&mut connection, None, wait_ms).await {
+        let until_check = check_at.min(exchange.deadline) - now;
+        let wakeup = if quiet {
+            wait_for_worker(&mut connection, Some(relay.client), until_check).await
+        } else {
+            wait_for_worker(&mut connection, None, until_check.min(QUIET_MS)).await
+        };
+        quiet = wakeup == Wakeup::TimedOut;
+        match wakeup {
             Wakeup::BytesRead => exchange.record_worker_activity(),
             Wakeup::TimedOut => {}
             Wakeup::WorkerReset => return relay.fail(connection, Event::Reset),
-            Wakeup::WorkerClosed | Wakeup::ClientDisconnected => {
-                return relay.fail(connection, Event::Closed)
+            Wakeup::WorkerClosed => return relay.fail(connection, Event::Closed),
+            Wakeup::ClientDisconnected => {
+                exchange.close(connection);
+                return exchange.client_disconnected();
             }
         }
     }
--- a/sorreldoor/tests/proxy.rs
+++ b/sorreldoor/tests/proxy.rs
@@ -5,6 +5,8 @@
 mod clients;
 #[path = "proxy/harness.rs"]
 mod harness;
+#[path = "proxy/kept_connections.rs"]
+mod kept_connections;
 #[path = "proxy/streams.rs"]
 mod streams;
 
