--- a/testbed/src/site/configuration_history.rs
+++ b/testbed/src/site/configuration_history.rs
@@ -60,8 +60,21 @@
     }
 }
 
+/// Whether a change may still be applied, or have been, after this answer. One
+/// that was told `BaseAhead` is undecided: another copy of it may be applied once
+/// the base exists (`docs/control-safety.md`, point 2).
+fn is_undecided(outcome: &Option<OpOutcome>) -> bool {
+    matches!(
+        outcome,
+        None | Some(
+            OpOutcome::Unknown
+                | OpOutcome::Got(Outcome::Unknown { .. } | Outcome::BaseAhead { .. })
+        )
+    )
+}
+
 /// The commands that may have made a version: the acknowledged one, or, if
-/// there is none, all on its base whose outcome is unknown.
+/// there is none, all on its base whose outcome is undecided.
 fn commands_for(world: &World, version: u64) -> Vec<&Command> {
     let committed = OpOutcome::Got(Outcome::Applied { version });
     let acknowledged: Vec<&Command> = world
@@ -77,7 +90,7 @@
         .changes
         .iter()
         .filter(|change| change.base + 1 == version)
-        .filter(|change| matches!(change.outcome, None | Some(OpOutcome::Unknown)))
+        .filter(|change| is_undecided(&change.outcome))
         .map(|change| &change.cmd)
         .collect()
 }
