--- a/testbed/tests/site/half_open.rs
+++ b/testbed/tests/site/half_open.rs
@@ -41,20 +41,25 @@
     world.power_off(returning);
     world.run_for(down_ms);
     world.start(returning);
-    let returned_at = world.now;
-    while world.now < returned_at + LIMIT_MS {
-        let base = newest_version(&world);
+    let recovered = time_to_commit(&mut world, leader)?;
+    world.run_for(2000);
+    assert_no_violations(&world, seed);
+    Some(recovered)
+}
+
+/// Proposes changes at a core until one is acknowledged; how long that took.
+fn time_to_commit(world: &mut World, core: usize) -> Option<Millis> {
+    let from = world.now;
+    while world.now < from + LIMIT_MS {
+        let base = newest_version(world);
         let doc = testbed::fleet::configuration(&world.preset);
-        let change = world.change(leader, replacement(base, doc));
+        let change = world.change(core, replacement(base, doc));
         let end = world.now + 300;
         world.run_until(end, |world| world.changes[change].outcome.is_some());
         // a core without a leader rejects at once
         world.run_for(RETRY_MS);
-        if was_committed(&world, change) {
-            let recovered = world.now - returned_at;
-            world.run_for(2000);
-            assert_no_violations(&world, seed);
-            return Some(recovered);
+        if was_committed(world, change) {
+            return Some(world.now - from);
         }
     }
     None
@@ -124,20 +129,7 @@
     for core in world.cores().into_iter().filter(|core| *core != leader) {
         world.close_at_far_end(leader, core);
     }
-    let closed_at = world.now;
-    while world.now < closed_at + LIMIT_MS {
-        let base = newest_version(&world);
-        let doc = testbed::fleet::configuration(&world.preset);
-        let change = world.change(leader, replacement(base, doc));
-        let end = world.now + 300;
-        world.run_until(end, |world| world.changes[change].outcome.is_some());
-        // a core without a leader rejects at once
-        world.run_for(RETRY_MS);
-        if was_committed(&world, change) {
-            break;
-        }
-    }
-    let restored = world.now - closed_at;
+    let restored = time_to_commit(&mut world, leader).unwrap_or(LIMIT_MS);
     world.run_for(2000);
     assert_no_violations(&world, seed);
     restored
