--- a/testbed/src/emulator/mod.rs
+++ b/testbed/src/emulator/mod.rs
@@ -8,6 +8,7 @@
 mod clients;
 mod control_plane;
 mod deployments;
+mod drawn;
 mod engine;
 mod faults;
 mod mix;
@@ -23,6 +24,7 @@
 
 pub use check::check;
 pub use deployments::{three_region_mix, two_region_mix, uneven_region_mix};
+pub use drawn::drawn_mix;
 pub use engine::{Engine, EngineEvent, Task};
 pub use mix::*;
 pub use policy::{Policy, PolicyKind, Violation};
--- a/testbed/src/experiment.rs
+++ b/testbed/src/experiment.rs
@@ -1,8 +1,8 @@
 //! Policies of placement against each other, on the same mixes and seeds.
 
 use crate::emulator::{
-    check, random_faults, three_region_mix, two_region_mix, uneven_region_mix, Mix, PolicyKind,
-    RunStatistics, World, Worth,
+    check, drawn_mix, random_faults, three_region_mix, two_region_mix, uneven_region_mix, Mix,
+    PolicyKind, RunStatistics, World, Worth,
 };
 use gumdrop::Options;
 use plotters::prelude::*;
@@ -12,7 +12,10 @@
 pub struct Args {
     #[options(help = "show this help")]
     help: bool,
-    #[options(help = "desk, wide, uneven, or a JSON file of a mix", default = "desk")]
+    #[options(
+        help = "desk, wide, uneven, drawn-SEED, or a JSON file of a mix",
+        default = "desk"
+    )]
     mix: String,
     #[options(help = "times the rates of the mix", meta = "X", default = "1")]
     load: f64,
@@ -53,6 +56,10 @@
         "desk" => two_region_mix(),
         "wide" => three_region_mix(),
         "uneven" => uneven_region_mix(),
+        name if name.starts_with("drawn-") => {
+            let seed = name.trim_start_matches("drawn-").parse();
+            drawn_mix(seed.map_err(|_| format!("{name}: the seed is no number"))?)
+        }
         f => {
             let mut b = std::fs::read(f).map_err(|e| format!("{f}: {e}"))?;
             simd_json::serde::from_slice(&mut b).map_err(|e| format!("{f}: {e}"))?
