--- a/testbed/src/emulator/drawn.rs
+++ b/testbed/src/emulator/drawn.rs
@@ -124,8 +124,8 @@
         attempts: 1 + u32::from(urgent),
         priority: u8::from(!urgent),
         tries: 1,
-        worth: 2.0 + f64::from(u8::from(urgent)),
-        late_worth: 0.6,
+        value: 2.0 + f64::from(u8::from(urgent)),
+        late_value: 0.6,
         ..ClassMix::default()
     }
 }
--- a/testbed/src/emulator/mix.rs
+++ b/testbed/src/emulator/mix.rs
@@ -132,9 +132,9 @@
     pub priority: u8,
     /// Retries of the client, at most.
     pub tries: u32,
-    /// What an answer is worth in time, and late.
-    pub worth: f64,
-    pub late_worth: f64,
+    /// The value of an answer in time, and late.
+    pub value: f64,
+    pub late_value: f64,
     pub parts: Vec<SegmentMix>,
     /// Tokens of its own.
     pub own: Distribution,
--- a/testbed/src/emulator/mod.rs
+++ b/testbed/src/emulator/mod.rs
@@ -17,10 +17,10 @@
 mod random_faults;
 mod responses;
 mod statistics;
+mod value;
 mod violation;
 mod worker;
 mod worker_lifecycle;
-mod worth;
 
 pub use check::check;
 pub use deployments::{three_region_mix, two_region_mix, uneven_region_mix};
@@ -30,7 +30,7 @@
 pub use policy::{Policy, PolicyKind, Violation};
 pub use random_faults::random_faults;
 pub use statistics::RunStatistics;
-pub use worth::{Worth, WorthByKind};
+pub use value::{EarnedValue, ValueByKind};
 
 use crate::rand::Rand;
 use clients::{ClientAttempt, ClientMessage, ClientRequest};
--- a/testbed/src/emulator/statistics.rs
+++ b/testbed/src/emulator/statistics.rs
@@ -41,7 +41,7 @@
     pub preemptions: u64,
     /// Served in time, of the requests of each second.
     pub seconds: Vec<(u32, u32)>,
-    pub worth: WorthByKind,
+    pub value: ValueByKind,
     /// Virtual milliseconds until the last event.
     pub duration_ms: u64,
 }
@@ -121,7 +121,7 @@
             let w = self.rejections_by_error.entry(k).or_default();
             *w = (w.0 + n.0, w.1 + n.1);
         }
-        self.worth.add(&o.worth);
+        self.value.add(&o.value);
         self.first.extend(o.first);
         self.gaps.extend(o.gaps);
         self.max_gap = self.max_gap.max(o.max_gap);
@@ -268,7 +268,7 @@
                 _ => t.failed += 1,
             }
         }
-        t.worth = self.worth_by_kind();
+        t.value = self.value_by_kind();
         t.sort();
         t.max_gap = t.gaps.last().copied().unwrap_or(0.0);
         let beyond = |x: &ClientAttempt| u64::from(x.worker_attempts.saturating_sub(1));
--- a/testbed/src/emulator/worth.rs
+++ b/testbed/src/emulator/value.rs
@@ -7,21 +7,21 @@
 
 /// A generated token weighs as much as so many tokens of the prompt.
 const OUTPUT_TOKEN_WEIGHT: f64 = 10.0;
-/// Part of the worth that does not depend on the size.
+/// Part of the value that does not depend on the size.
 const FIXED_SHARE: f64 = 0.3;
 /// The largest generations are worth so many times the mean.
 const MAX_SIZE_FACTOR: f64 = 4.0;
 /// The largest requests of a kind that are reported by themselves, as a share.
 const LARGEST_SHARE: f64 = 0.1;
 
-/// Worth of one kind of request, or of a part of it.
+/// Value earned and owed, of one kind of request, or of a part of it.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct Worth {
+pub struct EarnedValue {
     pub earned: f64,
     pub owed: f64,
 }
 
-impl Worth {
+impl EarnedValue {
     /// The share that was earned; 1 if nothing was owed.
     #[must_use]
     pub fn share(&self) -> f64 {
@@ -31,39 +31,39 @@
         }
     }
 
-    pub fn add(&mut self, other: Worth) {
+    pub fn add(&mut self, other: EarnedValue) {
         self.earned += other.earned;
         self.owed += other.owed;
     }
 }
 
-/// Worth by kind of request, in the order of the mix, and of the largest tenth
+/// Value by kind of request, in the order of the mix, and of the largest tenth
 /// of each kind.
 #[derive(Clone, Debug, Default)]
-pub struct WorthByKind {
-    pub all: Vec<Worth>,
-    pub largest: Vec<Worth>,
+pub struct ValueByKind {
+    pub all: Vec<EarnedValue>,
+    pub largest: Vec<EarnedValue>,
 }
 
-impl WorthByKind {
+impl ValueByKind {
     /// The sum over all kinds.
     #[must_use]
-    pub fn total(&self) -> Worth {
-        let mut sum = Worth::default();
-        self.all.iter().for_each(|worth| sum.add(*worth));
+    pub fn total(&self) -> EarnedValue {
+        let mut sum = EarnedValue::default();
+        self.all.iter().for_each(|value| sum.add(*value));
         sum
     }
 
-    /// Adds the worth of another run of the same mix.
-    pub fn add(&mut self, other: &WorthByKind) {
+    /// Adds the value of another run of the same mix.
+    pub fn add(&mut self, other: &ValueByKind) {
         let pairs = [
             (&mut self.all, &other.all),
             (&mut self.largest, &other.largest),
         ];
         for (sums, others) in pairs {
-            sums.resize(others.len(), Worth::default());
+            sums.resize(others.len(), EarnedValue::default());
             let each = sums.iter_mut().zip(others);
-            each.for_each(|(sum, worth)| sum.add(*worth));
+            each.for_each(|(sum, value)| sum.add(*value));
         }
     }
 }
@@ -88,23 +88,23 @@
 
     fn earned_share(&self, class: &ClassMix) -> f64 {
         match self.in_time(class) {
-            Some(true) => class.worth,
-            Some(false) => class.late_worth,
+            Some(true) => class.value,
+            Some(false) => class.late_value,
             None => 0.0,
         }
     }
 }
 
 impl World {
-    /// The worth of all requests, once a run is over.
-    pub(super) fn worth_by_kind(&self) -> WorthByKind {
+    /// The value of all requests, once a run is over.
+    pub(super) fn value_by_kind(&self) -> ValueByKind {
         let kinds = 0..self.mix.classes.len();
-        let (all, largest) = kinds.map(|kind| self.worth_of_kind(kind)).unzip();
-        WorthByKind { all, largest }
+        let (all, largest) = kinds.map(|kind| self.value_of_kind(kind)).unzip();
+        ValueByKind { all, largest }
     }
 
-    /// The worth of one kind, and of its largest requests.
-    fn worth_of_kind(&self, kind: usize) -> (Worth, Worth) {
+    /// The value of one kind, and of its largest requests.
+    fn value_of_kind(&self, kind: usize) -> (EarnedValue, EarnedValue) {
         let class = &self.mix.classes[kind];
         let engine = self.mix.services[class.service].engine.as_ref();
         let tokens_per_event = engine.map_or(0, |engine| engine.stride);
@@ -118,17 +118,17 @@
             Some(_) => (FIXED_SHARE + (1.0 - FIXED_SHARE) * size / mean).min(MAX_SIZE_FACTOR),
             None => 1.0,
         };
-        let worth = |sized: &[(f64, &ClientRequest)]| {
-            let mut sum = Worth::default();
+        let value = |sized: &[(f64, &ClientRequest)]| {
+            let mut sum = EarnedValue::default();
             for (size, request) in sized {
-                sum.add(Worth {
+                sum.add(EarnedValue {
                     earned: factor(*size) * request.earned_share(class),
-                    owed: factor(*size) * class.worth,
+                    owed: factor(*size) * class.value,
                 });
             }
             sum
         };
         let count = (sized.len() as f64 * LARGEST_SHARE).ceil() as usize;
-        (worth(&sized), worth(&sized[..count]))
+        (value(&sized), value(&sized[..count]))
     }
 }
--- a/testbed/src/experiment.rs
+++ b/testbed/src/experiment.rs
@@ -1,8 +1,8 @@
 //! Policies of placement against each other, on the same mixes and seeds.
 
 use crate::emulator::{
-    check, drawn_mix, random_faults, three_region_mix, two_region_mix, uneven_region_mix, Mix,
-    PolicyKind, RunStatistics, World, Worth,
+    check, drawn_mix, random_faults, three_region_mix, two_region_mix, uneven_region_mix,
+    EarnedValue, Mix, PolicyKind, RunStatistics, World,
 };
 use gumdrop::Options;
 use plotters::prelude::*;
@@ -170,7 +170,7 @@
                 .map(|(n, s, l)| format!("{n} {s:.2}/{l:.2}"))
                 .collect();
         println!("{}: served/in time % {}", r.name, k.join(", "));
-        println!("{}: worth earned % {}", r.name, worth_text(&r.t));
+        println!("{}: value earned % {}", r.name, value_text(&r.t));
         let rejections_by_error =
             r.t.rejections_by_error
                 .iter()
@@ -193,15 +193,15 @@
     Ok(rows[0].violations.is_empty())
 }
 
-/// Worth earned in all, by kind, and by the largest tenth of each kind.
-fn worth_text(statistics: &RunStatistics) -> String {
-    let worth = &statistics.worth;
-    let percent = |worth: &Worth| 100.0 * worth.share();
+/// Value earned in all, by kind, and by the largest tenth of each kind.
+fn value_text(statistics: &RunStatistics) -> String {
+    let value = &statistics.value;
+    let percent = |value: &EarnedValue| 100.0 * value.share();
     let kinds = statistics
         .by_kind
         .iter()
-        .zip(&worth.all)
-        .zip(&worth.largest);
+        .zip(&value.all)
+        .zip(&value.largest);
     let kinds = kinds.map(|(((name, _), all), largest)| {
         format!(
             "{name} {:.2} (largest {:.2})",
@@ -210,7 +210,7 @@
         )
     });
     let kinds: Vec<String> = kinds.collect();
-    format!("{:.2}: {}", percent(&worth.total()), kinds.join(", "))
+    format!("{:.2}: {}", percent(&value.total()), kinds.join(", "))
 }
 
 fn cells(r: &Row) -> Vec<String> {
--- a/testbed/tests/large_config.rs
+++ b/testbed/tests/large_config.rs
@@ -90,9 +90,13 @@
     assert_ne!(copy.view(), record.view());
 }
 
+/// Routes whose update, compressed, has as many bytes as one of 5,000 had before
+/// updates were compressed.
+const MANY_ROUTES: usize = 40_000;
+
 /// Bytes that a core sends to `readers` that take nothing but ask on.
 fn sent_to_slow(readers: u64, times: u64) -> usize {
-    let record = record(5000);
+    let record = record(MANY_ROUTES);
     let mut updates = Updates::default();
     let mut sent = 0;
     for time in 0..times {
--- a/testbed/tests/policies.rs
+++ b/testbed/tests/policies.rs
@@ -32,7 +32,7 @@
 struct Floor {
     /// Requests served, in percent.
     served: f64,
-    /// Worth earned, as a share of the worth owed.
+    /// Value earned, as a share of the value owed.
     earned: f64,
 }
 
@@ -54,11 +54,11 @@
     });
     for (kind, floor) in floors.iter().enumerate() {
         let name = &balancer.by_kind[kind].0;
-        let earned = balancer.worth.all[kind].share();
+        let earned = balancer.value.all[kind].share();
         println!("{name}: earned {earned:.4}");
         assert!(earned >= floor.earned, "{name}: earned {earned:.4}");
         for (policy, statistics) in &baselines {
-            let theirs = statistics.worth.all[kind].share();
+            let theirs = statistics.value.all[kind].share();
             println!("  {}: {theirs:.4}", policy.name());
             assert!(
                 earned + 0.005 >= theirs,
