Audit log of operators' changes, with the sizes of the document they left

The logs of a machine of the platform showed warnings only, so no line said that a change was committed, and none what it did to the document. E280 and E281 now go to the log target sorreldoor::audit, which the platform's default filter keeps, and E280 and E252 tell how many routes and services the document has and how many bytes of other settings; never its content, which holds keys. Ruled out: E252 on every node at that level (a line on each of 72 machines for each change).

--- a/sorreldoor/src/control_plane/controller/changes.rs
+++ b/sorreldoor/src/control_plane/controller/changes.rs
@@ -6,7 +6,7 @@
 use crate::control_plane::proposals;
 use crate::log_events::LogEvent;
 use crate::order_id::format_proposal_id;
-use crate::replicated_state::{encode, Command, Outcome};
+use crate::replicated_state::{encode, Command, DocumentSummary, Outcome};
 use crate::types::ProposalId;
 use crate::wire::{OpOutcome, Payload};
 use std::sync::Arc;
@@ -70,13 +70,20 @@
         let (event, about) = match outcome {
             OpOutcome::Got(Outcome::Applied { version }) => (
                 LogEvent::ChangeCommitted,
-                format!("{id} as serial {version}"),
+                format!("{id} as serial {version}: {}", self.document_summary()),
             ),
             other => (LogEvent::ChangeRejected, format!("{id}: {other:?}")),
         };
         self.log_event(event, about);
     }
 
+    fn document_summary(&self) -> DocumentSummary {
+        let consensus = self.consensus.as_ref();
+        consensus
+            .map(|consensus| consensus.state_machine().document_summary())
+            .unwrap_or_default()
+    }
+
     pub(super) fn change_done(&mut self, requester: Requester, outcome: OpOutcome) {
         match requester {
             Requester::Http { request_id } => self.out.push(ControllerEffect::ChangeDone {
--- a/sorreldoor/src/control_plane/controller/consensus.rs
+++ b/sorreldoor/src/control_plane/controller/consensus.rs
@@ -83,11 +83,18 @@
     }
 
     fn on_applied(&mut self) {
-        let consensus = self.consensus.as_ref();
-        let version = consensus.map_or(0, |consensus| consensus.state_machine().version());
+        let Some(consensus) = self.consensus.as_ref() else {
+            return;
+        };
+        let state = consensus.state_machine();
+        let version = state.version();
         if version != self.logged_version {
+            let summary = state.document_summary();
             self.logged_version = version;
-            self.log_event(LogEvent::ConfigurationApplied, format!("serial {version}"));
+            self.log_event(
+                LogEvent::ConfigurationApplied,
+                format!("serial {version}: {summary}"),
+            );
         }
     }
 }
--- a/sorreldoor/src/log_events.rs
+++ b/sorreldoor/src/log_events.rs
@@ -141,7 +141,26 @@
     }
 }
 
+/// Log target of all events but those of the audit log.
+const TARGET: &str = "sorreldoor";
+/// Log target of operators' changes, so that a filter can keep them where it
+/// drops other events of their level.
+pub const AUDIT_TARGET: &str = "sorreldoor::audit";
+
+impl LogEvent {
+    /// Whether the event belongs to the audit log of operators' changes.
+    #[must_use]
+    pub fn is_audited(self) -> bool {
+        matches!(self, LogEvent::ChangeCommitted | LogEvent::ChangeRejected)
+    }
+}
+
 /// Logs one event with the particulars of this occurrence.
 pub fn log_event(event: LogEvent, details: impl fmt::Display) {
-    log::log!(target: "sorreldoor", event.level(), "{event}: {details}");
+    let target = if event.is_audited() {
+        AUDIT_TARGET
+    } else {
+        TARGET
+    };
+    log::log!(target: target, event.level(), "{event}: {details}");
 }
--- a/sorreldoor/src/replicated_state/document.rs
+++ b/sorreldoor/src/replicated_state/document.rs
@@ -9,6 +9,7 @@
 use crate::json::{self, Value};
 use serde::{Deserialize, Serialize};
 use simd_json::prelude::*;
+use std::fmt;
 use std::sync::Arc;
 
 /// The section of a document whose lists are stored item by item.
@@ -44,6 +45,28 @@
     services: ItemList,
 }
 
+/// Sizes of a document's parts. Logs show them, and never the content, which
+/// holds secrets.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct DocumentSummary {
+    /// Items in the list `hosted.routes`.
+    pub routes: usize,
+    /// Items in the list `hosted.services`.
+    pub services: usize,
+    /// Length of the rest of the `hosted` section as JSON text.
+    pub rest_bytes: usize,
+}
+
+impl fmt::Display for DocumentSummary {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "{} routes, {} services, {} bytes of other settings",
+            self.routes, self.services, self.rest_bytes
+        )
+    }
+}
+
 /// The difference between two revisions of a document.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct DocumentDelta {
@@ -136,6 +159,15 @@
         json::parse_canonical(self.rest.hosted.as_deref().unwrap_or("{}"))
     }
 
+    /// What the document consists of, for logs.
+    pub fn summary(&self) -> DocumentSummary {
+        DocumentSummary {
+            routes: self.routes.len(),
+            services: self.services.len(),
+            rest_bytes: self.rest.hosted.as_ref().map_or(0, |text| text.len()),
+        }
+    }
+
     /// The approximate length of the text in bytes.
     pub fn bytes(&self) -> usize {
         let hosted = self.rest.hosted.as_ref().map_or(0, |h| h.len());
--- a/sorreldoor/src/replicated_state/item_list.rs
+++ b/sorreldoor/src/replicated_state/item_list.rs
@@ -88,6 +88,11 @@
         self.present
     }
 
+    /// Number of items.
+    pub fn len(&self) -> usize {
+        self.items.len()
+    }
+
     /// The length of the list as text, in bytes.
     pub fn bytes(&self) -> usize {
         self.bytes
--- a/sorreldoor/src/replicated_state/mod.rs
+++ b/sorreldoor/src/replicated_state/mod.rs
@@ -14,7 +14,7 @@
 pub use codec::{decode, encode};
 pub use command::{Command, Outcome};
 pub use deduplication::MAX_REMEMBERED_REQUESTS;
-pub use document::{Document, DocumentDelta};
+pub use document::{Document, DocumentDelta, DocumentSummary};
 pub use item_list::{ItemDelta, ListDelta};
 pub use state_update::{StateReplica, StateUpdate};
 
@@ -132,6 +132,12 @@
         state.unwrap_or(Recovery::Served)
     }
 
+    /// What the configuration document consists of; nothing before the first.
+    pub fn document_summary(&self) -> DocumentSummary {
+        let document = self.data.document.as_ref();
+        document.map(Document::summary).unwrap_or_default()
+    }
+
     /// Whether there is a configuration document.
     pub fn has_document(&self) -> bool {
         self.data.document.is_some()
