--- a/sorreldoor/tests/proxy.rs
+++ b/sorreldoor/tests/proxy.rs
@@ -9,6 +9,8 @@
 mod kept_connections;
 #[path = "proxy/streams.rs"]
 mod streams;
+#[path = "proxy/tenants.rs"]
+mod tenants;
 
 use async_std::future::timeout;
 use async_std::io::WriteExt;
