Tenants: keys authenticate requests, and never reach a worker

Nothing read the header Authorization, so it was passed on (UNASKED), requests ran whatever their key (ROUTE), and a change of items took the list of tenants for one value and replaced it whole (CONFIG).

Tenants are now a list of the hosted section like routes and services, replicated item by item (frames change: protocol 6). An edge authenticates each request at its beginning and again before each attempt, under the configuration in force; a revoked key so stops on open connections too. Workers are told the tenant's name; a key is never forwarded nor shown by Debug. The tenant's priority goes before the route's, in the queue and at the engine, and the homes of both bind. A key held by two tenants makes a configuration invalid.

Ruled out: forwarding Authorization where there are no tenants (an edge that has not applied the first configuration with tenants would leak a key).

--- a/sorreldoor/src/balancer/candidates.rs
+++ b/sorreldoor/src/balancer/candidates.rs
@@ -78,6 +78,11 @@
     }
 }
 
+/// Whether homes allow a region; without any all are allowed.
+fn is_home(homes: &[u8], region: u8) -> bool {
+    homes.is_empty() || homes.contains(&region)
+}
+
 impl Balancer {
     /// Looks at all endpoints of a service. Ejected ones that are not due for a
     /// trial count only if `include_ejected` is set.
@@ -163,7 +168,8 @@
         endpoint.accepting
             && endpoint.misdirected_at.is_none()
             && !self.evacuated_zones.contains(&endpoint.zone)
-            && (route.homes.is_empty() || route.homes.contains(&endpoint.region))
+            && is_home(&route.homes, endpoint.region)
+            && is_home(request.caller.homes(), endpoint.region)
             && !request.tried.contains(&index)
     }
 
--- a/sorreldoor/src/balancer/decide.rs
+++ b/sorreldoor/src/balancer/decide.rs
@@ -1,5 +1,6 @@
 //! Where a request goes now, whether it waits, or why it is rejected.
 
+use super::authentication::Caller;
 use super::candidates::Candidates;
 use super::index::ServiceIndex;
 use super::request_table::{rendezvous_rank, Request};
@@ -97,6 +98,11 @@
         let Some(route) = route else {
             return Decision::Reject(ErrorCode::UnknownRoute, 0);
         };
+        if request.caller == Caller::Unauthenticated {
+            // its key was revoked while it waited or ran
+            self.counts.unauthenticated += 1;
+            return self.reject(request, ErrorCode::UnknownKey, now);
+        }
         if request.deadline < now + MIN_TIME_LEFT {
             return self.reject(request, ErrorCode::NotSent, now);
         }
@@ -203,14 +209,13 @@
     route: &Route,
     service: ServiceIndex,
 ) -> QueueSlot {
-    let homes = route.homes.iter();
     QueueSlot {
         key: QueueKey {
             service,
-            regions: homes.fold(0u64, |bits, home| bits | 1 << (home & 63)),
+            regions: allowed_regions(&route.homes, request.caller.homes()),
         },
         position: Position {
-            priority: route.priority,
+            rank: request.rank(route),
             arrived_at: request.arrived_at,
             request_id,
         },
@@ -218,6 +223,20 @@
     }
 }
 
+/// Homes as a bit set; 0: all regions.
+fn region_bits(homes: &[u8]) -> u64 {
+    homes.iter().fold(0, |bits, home| bits | 1 << (home & 63))
+}
+
+/// The regions that may serve a request, as a bit set; 0: all. Both the homes
+/// of the route and those of the tenant bind.
+fn allowed_regions(route: &[u8], tenant: &[u8]) -> u64 {
+    match (region_bits(route), region_bits(tenant)) {
+        (0, bits) | (bits, 0) => bits,
+        (route, tenant) => route & tenant,
+    }
+}
+
 /// How long after its arrival a request may still wait, in milliseconds.
 fn max_wait(route: &Route, reached_endpoint: bool) -> Millis {
     let latency_target = match route.aim_ms {
--- a/sorreldoor/src/balancer/dispatch.rs
+++ b/sorreldoor/src/balancer/dispatch.rs
@@ -13,8 +13,6 @@
 
 /// An endpoint that was active within this time is alive.
 const RECENTLY_ACTIVE: Millis = 200;
-/// The least urgent priority that engines know.
-const MAX_PRIORITY: u8 = 9;
 /// Share of an endpoint's connection limit that is used: it resets
 /// connections beyond the limit.
 const CONNECTION_MARGIN: f64 = 0.9;
@@ -32,6 +30,8 @@
         let config = self.service_config(service);
         let engine = config.and_then(|config| config.engine);
         let max_conns = config.map_or(1, |config| config.max_conns);
+        let priority = engine.map(|_| self.engine_priority(request, route));
+        let tenant = request.caller.tenant().map(|tenant| tenant.name.clone());
         let Some(endpoint) = self.endpoints.get_mut(choice.endpoint) else {
             return Decision::Reject(ErrorCode::NotSent, 0);
         };
@@ -48,7 +48,8 @@
             name: endpoint.name.clone(),
             addr: endpoint.addr,
             time_left_ms: request.deadline.saturating_sub(now),
-            priority: engine.map(|_| route.priority.min(MAX_PRIORITY)),
+            priority,
+            tenant,
             max_conns: self.connection_share(max_conns, choice.endpoint),
             new_connection,
         };
--- a/sorreldoor/src/balancer/lifecycle.rs
+++ b/sorreldoor/src/balancer/lifecycle.rs
@@ -1,5 +1,6 @@
 //! The begin and the end of a request, and its route and deadline in between.
 
+use super::authentication::Caller;
 use super::request_table::Request;
 use super::state::Balancer;
 use super::RequestId;
@@ -15,7 +16,8 @@
     ///
     /// # Errors
     /// `NoConfiguration` before the first configuration, `UnknownRoute` if no
-    /// route matches.
+    /// route matches, `UnknownKey` if no tenant holds the request's key and the
+    /// route needs one.
     pub fn begin(
         &mut self,
         host: &str,
@@ -28,6 +30,11 @@
         let hosted = self.hosted.clone().ok_or(ErrorCode::NoConfiguration)?;
         let route_index = hosted.find(host, path).ok_or(ErrorCode::UnknownRoute)?;
         let route = &hosted.routes[route_index as usize];
+        let caller = Caller::authenticate(&hosted, route, metadata.api_key.as_ref());
+        if caller == Caller::Unauthenticated {
+            self.counts.unauthenticated += 1;
+            return Err(ErrorCode::UnknownKey);
+        }
         let request = Request {
             host: host.into(),
             path: path.into(),
@@ -36,7 +43,9 @@
             deadline: deadline(route, metadata.deadline_ms, arrived_at),
             prompt_tokens: metadata.tokens_in,
             segments: metadata.prompt_segments.into(),
+            api_key: metadata.api_key,
             route: Some(route_index),
+            caller,
             generation: self.generation,
             split_draw: self.rng.next(),
             attempt: None,
@@ -82,7 +91,7 @@
             .map_or(0, |request| request.deadline)
     }
 
-    /// Looks the route up again if the configuration has changed.
+    /// Looks route and tenant up again if the configuration has changed.
     pub(super) fn refresh_route(&self, request: &mut Request, hosted: &Hosted) {
         if request.generation == self.generation {
             return;
@@ -92,6 +101,7 @@
         if let Some(index) = request.route {
             let route = &hosted.routes[index as usize];
             request.deadline = deadline(route, request.client_timeout_ms, request.arrived_at);
+            request.caller = Caller::authenticate(hosted, route, request.api_key.as_ref());
         }
     }
 
--- a/sorreldoor/src/balancer/mod.rs
+++ b/sorreldoor/src/balancer/mod.rs
@@ -5,6 +5,7 @@
 //! milliseconds of one monotonic clock, and every random draw comes from a seed,
 //! so that a run can be repeated.
 
+mod authentication;
 mod candidates;
 mod cost;
 mod decide;
@@ -20,6 +21,7 @@
 mod outcomes;
 mod outlier_detection;
 mod prefix_cache;
+mod priority;
 mod registry;
 mod request_table;
 mod retry_budget;
@@ -32,6 +34,7 @@
 use crate::error::ErrorCode;
 use crate::types::Millis;
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 /// Id of a request in progress at this node; never used twice.
 pub type RequestId = u64;
@@ -52,6 +55,8 @@
     pub priority: Option<u8>,
     /// Connections that this node may open to the endpoint.
     pub max_conns: u32,
+    /// Name of the tenant in whose name the request runs.
+    pub tenant: Option<Arc<str>>,
     /// Requires a new connection, which proves that the endpoint is alive.
     pub new_connection: bool,
 }
--- a/sorreldoor/src/balancer/request_table.rs
+++ b/sorreldoor/src/balancer/request_table.rs
@@ -1,10 +1,12 @@
 //! The requests in progress at this node.
 
+use super::authentication::Caller;
 use super::hash;
 use super::index::EndpointIndex;
 use super::long_prompts::{LONG_PREFIX_TOKENS, LONG_PROMPT_TOKENS};
 use super::wait_queue::{Position, QueueKey};
 use super::RequestId;
+use crate::configuration::tenants::ApiKey;
 use crate::error::ErrorCode;
 use crate::proxy::attempt::RequestProgress;
 use crate::proxy::PromptSegment;
@@ -36,8 +38,11 @@
     pub client_timeout_ms: Option<u64>,
     pub segments: Box<[PromptSegment]>,
     pub prompt_tokens: u32,
+    pub api_key: Option<ApiKey>,
     /// Index of the route in the configuration of `generation`.
     pub route: Option<u32>,
+    /// Whom the request runs for under that configuration.
+    pub caller: Caller,
     pub generation: u32,
     pub deadline: Millis,
     /// Random draw that orders the services of a weighted split.
--- a/sorreldoor/src/balancer/state.rs
+++ b/sorreldoor/src/balancer/state.rs
@@ -3,6 +3,7 @@
 use super::hash::{self, SplitMix64};
 use super::index::{Endpoints, ServiceIndex, Services};
 use super::nodes::Nodes;
+use super::priority::EnginePriorities;
 use super::registry::EndpointNames;
 use super::request_table::RequestTable;
 use super::service::ServiceState;
@@ -24,6 +25,8 @@
     pub served: u64,
     /// Decisions to send no (further) attempt.
     pub rejected: u64,
+    /// Requests rejected because no tenant holds their key.
+    pub unauthenticated: u64,
     /// Attempts beyond the first that reached an endpoint.
     pub retried: u64,
     /// Requests that waited, and those that wait now.
@@ -52,6 +55,7 @@
     /// Time of the first call.
     pub(super) started_at: Option<Millis>,
     pub(super) hosted: Option<Arc<Hosted>>,
+    pub(super) engine_priorities: EnginePriorities,
     /// Number of configurations applied so far.
     pub(super) generation: u32,
     pub(super) evacuated_zones: Vec<u16>,
@@ -80,6 +84,7 @@
             now: 0,
             started_at: None,
             hosted: None,
+            engine_priorities: EnginePriorities::default(),
             generation: 0,
             evacuated_zones: Vec::new(),
             registry_version: 0,
@@ -138,6 +143,7 @@
             self.services[*service].config_index = Some(config_index as u16);
         }
         self.count_pinned_streams(&hosted);
+        self.engine_priorities = EnginePriorities::new(&hosted);
         self.hosted = Some(hosted);
         self.wait_queue.recheck_all();
     }
--- a/sorreldoor/src/balancer/wait_queue.rs
+++ b/sorreldoor/src/balancer/wait_queue.rs
@@ -1,6 +1,7 @@
 //! Requests that wait for capacity, by priority and then by arrival.
 
 use super::index::ServiceIndex;
+use super::priority::Rank;
 use super::RequestId;
 use crate::types::Millis;
 use std::collections::{BTreeMap, BTreeSet};
@@ -19,7 +20,7 @@
 /// The position of a request in its queue; lower positions come first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct Position {
-    pub priority: u8,
+    pub rank: Rank,
     pub arrived_at: Millis,
     pub request_id: RequestId,
 }
--- a/sorreldoor/src/configuration/hosted.rs
+++ b/sorreldoor/src/configuration/hosted.rs
@@ -1,6 +1,7 @@
 //! Hosted routes: requests are routed by host and path and proxied byte for
 //! byte to the workers of a service.
 
+use super::tenants::Tenants;
 use std::collections::HashMap;
 use std::sync::Arc;
 
@@ -45,6 +46,8 @@
     pub gap_ms: u64,
     /// Indices of the only regions that may serve it; empty: all.
     pub homes: Vec<u8>,
+    /// Its requests need no key of a tenant.
+    pub public: bool,
 }
 
 impl Route {
@@ -120,6 +123,8 @@
     pub services: Vec<Service>,
     /// Limits that hold for all routes.
     pub limits: Limits,
+    /// Who may send requests.
+    pub tenants: Tenants,
     /// Indices of the routes of each host (in lower case): longer prefixes
     /// first, then by prefix.
     pub by_host: HashMap<String, Vec<u32>>,
--- a/sorreldoor/src/configuration/hosted_change.rs
+++ b/sorreldoor/src/configuration/hosted_change.rs
@@ -3,6 +3,7 @@
 
 use super::hosted::{Hosted, Route, Service};
 use super::hosted_parse::{self as parse, Item};
+use super::tenants::{Tenant, Tenants};
 use super::Site;
 use crate::json::{join, Faults, Value};
 use simd_json::prelude::*;
@@ -50,6 +51,10 @@
     pub services: ListChange<'v>,
     /// Changes of the section's list of routes.
     pub routes: ListChange<'v>,
+    /// Changes of the section's list of tenants.
+    pub tenants: ListChange<'v>,
+    /// Whether the changed section has a list of tenants.
+    pub has_tenants: bool,
 }
 
 impl HostedChange<'_> {
@@ -67,6 +72,7 @@
             false => parse::by_host(&routes, &mut faults),
         };
         let top = self.rest.map(|r| Item::of(r, "hosted".into(), &mut faults));
+        let tenants = self.tenants(&old.tenants, site, &mut faults);
         let limits = top
             .flatten()
             .map_or(old.limits, |i| parse::limits_of(&i, &mut faults));
@@ -74,6 +80,7 @@
             routes,
             services,
             limits,
+            tenants,
             by_host,
         };
         if faults.is_empty() {
@@ -110,9 +117,25 @@
         all
     }
 
-    /// Whether nothing would change.
-    pub fn is_empty(&self) -> bool {
-        self.rest.is_none() && self.services.is_empty() && self.routes.is_empty()
+    fn tenants(&self, old: &Tenants, site: &Site, faults: &mut Faults) -> Tenants {
+        if self.tenants.is_empty() && old.required() == self.has_tenants {
+            return old.clone();
+        }
+        let items = self.tenants.items("tenants", faults);
+        let new = items.iter().map(|i| parse::tenant(i, site, faults));
+        let new: Vec<Arc<Tenant>> = new.map(Arc::new).collect();
+        let deleted = &self.tenants.deleted;
+        let all = merged(old.all(), new, |t| &*t.name, deleted);
+        parse::tenants_of(all, self.has_tenants, faults)
+    }
+
+    /// Whether nothing of `old` would change.
+    pub fn is_empty(&self, old: &Hosted) -> bool {
+        self.rest.is_none()
+            && self.services.is_empty()
+            && self.routes.is_empty()
+            && self.tenants.is_empty()
+            && self.has_tenants == old.tenants.required()
     }
 }
 
@@ -139,12 +162,12 @@
 fn merged<T: Clone>(
     old: &[T],
     new: Vec<T>,
-    name: impl Fn(&T) -> &String,
+    name: impl Fn(&T) -> &str,
     deleted: &HashSet<&str>,
 ) -> Vec<T> {
     let mut at: HashMap<String, usize> = HashMap::new();
     for (i, item) in new.iter().enumerate() {
-        at.insert(name(item).clone(), i);
+        at.insert(name(item).to_string(), i);
     }
     let mut placed = vec![false; new.len()];
     let mut out = Vec::with_capacity(old.len() + new.len());
@@ -154,7 +177,7 @@
                 placed[*i] = true;
                 out.push(new[*i].clone());
             }
-            None if deleted.contains(name(item).as_str()) => {}
+            None if deleted.contains(name(item)) => {}
             None => out.push(item.clone()),
         }
     }
--- a/sorreldoor/src/configuration/hosted_parse.rs
+++ b/sorreldoor/src/configuration/hosted_parse.rs
@@ -2,6 +2,7 @@
 //! named items. Unknown fields remain in the document and are ignored.
 
 use super::hosted::{Engine, Hosted, Kind, Limits, Route, Service};
+use super::tenants::{ApiKey, SharedKey, Tenant, Tenants};
 use super::Site;
 use crate::json::{join, Faults, Value};
 use simd_json::prelude::*;
@@ -126,14 +127,38 @@
     let routes: Vec<Arc<Route>> = routes.map(Arc::new).collect();
     let by_host = by_host(&routes, faults);
     let limits = limits_of(&top, faults);
+    let items = top.items("tenants", faults);
+    let tenants = items.iter().map(|i| tenant(i, site, faults));
+    let tenants = tenants.map(Arc::new).collect();
+    let tenants = tenants_of(tenants, top.get("tenants").is_some(), faults);
     Some(Hosted {
         routes,
         services,
         limits,
+        tenants,
         by_host,
     })
 }
 
+/// The tenants with their keys; a key that two of them hold is a fault, which
+/// does not show it.
+pub(super) fn tenants_of(
+    tenants: Vec<Arc<Tenant>>,
+    required: bool,
+    faults: &mut Faults,
+) -> Tenants {
+    let names: Vec<Arc<str>> = tenants.iter().map(|t| t.name.clone()).collect();
+    Tenants::new(tenants, required).unwrap_or_else(|shared| {
+        for SharedKey { first, second } in shared {
+            faults.add(
+                &format!("hosted.tenants[{second}].keys"),
+                format!("{:?} holds one of these keys too", names[first]),
+            );
+        }
+        Tenants::default()
+    })
+}
+
 /// The limits of a `hosted` section, or the defaults.
 pub(super) fn limits_of(top: &Item, faults: &mut Faults) -> Limits {
     top.get("limits")
@@ -224,7 +249,35 @@
         resume: i.flag("resume", faults),
         gap_ms: i.integer("gap_ms", 0, faults),
         homes: homes(i, site, faults),
+        public: i.flag("public", faults),
+    }
+}
+
+pub(super) fn tenant(i: &Item, site: &Site, faults: &mut Faults) -> Tenant {
+    let name = i.required_text("name", faults);
+    // workers are told the name in a header
+    if name.chars().any(char::is_control) {
+        i.fault("name", "must not hold control characters", faults);
+    }
+    Tenant {
+        name: name.into(),
+        keys: api_keys(i, faults),
+        priority: i.integer("priority", 0, faults).min(255) as u8,
+        rate_per_s: i.num("rate_per_s", faults).unwrap_or(0.0),
+        burst: i.num("burst", faults).unwrap_or(0.0),
+        homes: homes(i, site, faults),
+    }
+}
+
+fn api_keys(i: &Item, faults: &mut Faults) -> Vec<ApiKey> {
+    let keys = i.list("keys", faults).iter().map(|key| key.as_str());
+    let keys: Option<Vec<&str>> = keys.collect();
+    let keys = keys.filter(|keys| keys.iter().all(|key| !key.is_empty()));
+    if keys.is_none() {
+        i.fault("keys", "must be a list of texts that are not empty", faults);
     }
+    let keys = keys.unwrap_or_default().into_iter();
+    keys.map(ApiKey::new).collect()
 }
 
 fn split(i: &Item, services: &HashMap<&str, u16>, faults: &mut Faults) -> Vec<(u16, u32)> {
--- a/sorreldoor/src/configuration/mod.rs
+++ b/sorreldoor/src/configuration/mod.rs
@@ -5,6 +5,7 @@
 pub mod hosted_change;
 mod hosted_parse;
 mod parse;
+pub mod tenants;
 
 pub use parse::{parse, MAX_BYTES};
 
--- /dev/null
+++ b/sorreldoor/src/configuration/tenants.rs
@@ -0,0 +1,109 @@
+//! Tenants: who may send requests on hosted routes, by which API keys, and
+//! with which priority, quota and home regions.
+
+use std::collections::HashMap;
+use std::fmt;
+use std::sync::Arc;
+
+/// The API key of a tenant, a secret. `Debug` does not show it, so that no log
+/// line can.
+#[derive(Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct ApiKey(Box<str>);
+
+impl ApiKey {
+    /// A key as its tenant's clients send it.
+    #[must_use]
+    pub fn new(key: &str) -> ApiKey {
+        ApiKey(key.into())
+    }
+}
+
+impl fmt::Debug for ApiKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("ApiKey(..)")
+    }
+}
+
+/// A customer of the site, whose clients identify themselves by API keys.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Tenant {
+    /// Unique in the section; workers are told this name.
+    pub name: Arc<str>,
+    /// Keys of its clients; none: no client can send requests in its name.
+    pub keys: Vec<ApiKey>,
+    /// The priority class, which goes before that of the route; 0 is served
+    /// first.
+    pub priority: u8,
+    /// Requests a second over all nodes; 0: no limit.
+    pub rate_per_s: f64,
+    /// Requests that it may send at once on top of the rate.
+    pub burst: f64,
+    /// Indices of the only regions that may serve it; empty: all.
+    pub homes: Vec<u8>,
+}
+
+/// All tenants of a configuration.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Tenants {
+    all: Vec<Arc<Tenant>>,
+    by_key: HashMap<ApiKey, u16>,
+    required: bool,
+}
+
+/// Two tenants hold the same key; indices in the operator's order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SharedKey {
+    /// The tenant that is listed first.
+    pub first: usize,
+    /// The tenant that is listed later.
+    pub second: usize,
+}
+
+impl Tenants {
+    /// Tenants in the operator's order. `required`: the configuration has the
+    /// list, even if it is empty, so that each request needs a key unless its
+    /// route is public.
+    ///
+    /// # Errors
+    /// Every pair of tenants that share a key.
+    pub fn new(all: Vec<Arc<Tenant>>, required: bool) -> Result<Tenants, Vec<SharedKey>> {
+        let mut by_key: HashMap<ApiKey, u16> = HashMap::new();
+        let mut shared = Vec::new();
+        for (second, tenant) in all.iter().enumerate() {
+            for key in &tenant.keys {
+                let index = second.min(usize::from(u16::MAX)) as u16;
+                let first = usize::from(*by_key.entry(key.clone()).or_insert(index));
+                if first != second {
+                    shared.push(SharedKey { first, second });
+                }
+            }
+        }
+        match shared.is_empty() {
+            true => Ok(Tenants {
+                all,
+                by_key,
+                required,
+            }),
+            false => Err(shared),
+        }
+    }
+
+    /// All tenants in the operator's order.
+    #[must_use]
+    pub fn all(&self) -> &[Arc<Tenant>] {
+        &self.all
+    }
+
+    /// Whether requests need a key, unless their route is public.
+    #[must_use]
+    pub fn required(&self) -> bool {
+        self.required
+    }
+
+    /// The tenant that holds a key.
+    #[must_use]
+    pub fn holder_of(&self, key: &ApiKey) -> Option<&Arc<Tenant>> {
+        let index = self.by_key.get(key)?;
+        self.all.get(usize::from(*index))
+    }
+}
--- a/sorreldoor/src/error.rs
+++ b/sorreldoor/src/error.rs
@@ -55,6 +55,8 @@
         "the caller corrects its request";
     InvalidRequestField "bad-errand" 400 false "a field of the request is missing or malformed"
         "the caller corrects its request";
+    UnknownKey "unknown-key" 401 false "the request carries no API key of a tenant"
+        "check the caller's key against the tenants of `ctl get`; a revoked key is unknown";
     UnknownPath "unknown-path" 404 false "there is nothing at this path"
         "the caller corrects the path; see api.md";
     UnknownRoute "unknown-route" 404 false "the configuration has no such route"
--- a/sorreldoor/src/invariants.rs
+++ b/sorreldoor/src/invariants.rs
@@ -39,6 +39,8 @@
     Unverified "unverified";
     // A request goes only to workers that the current configuration allows.
     Allowed "allowed";
+    // A request runs only with a key of a tenant, unless its route is public.
+    Authenticated "authenticated";
     // A home-bound request stays in its home region.
     Home "home";
     // Requests go to another region only where a spill limit allows it.
--- a/sorreldoor/src/metrics/edge_metrics.rs
+++ b/sorreldoor/src/metrics/edge_metrics.rs
@@ -69,6 +69,11 @@
         "Decisions to send no (further) attempt.",
         |f| f.counts.rejected,
     ),
+    counter(
+        "requests_unauthenticated",
+        "Requests rejected because no tenant holds their key, or they had none.",
+        |f| f.counts.unauthenticated,
+    ),
     counter(
         "retries",
         "Attempts beyond the first of their request that reached a worker.",
--- a/sorreldoor/src/proxy/client.rs
+++ b/sorreldoor/src/proxy/client.rs
@@ -62,6 +62,9 @@
             "HTTP/1.1 {status} {reason}\r\nContent-Type: application/json\r\nContent-Length: {}\r\n",
             body.len()
         );
+        if error == ErrorCode::UnknownKey {
+            response.push_str("WWW-Authenticate: Bearer\r\n");
+        }
         if retry_after_ms > 0 {
             let seconds = retry_after_ms as f64 / 1000.0;
             response.push_str(&format!("Retry-After: {seconds:.3}\r\n"));
--- a/sorreldoor/src/proxy/dialect.rs
+++ b/sorreldoor/src/proxy/dialect.rs
@@ -2,6 +2,7 @@
 //! to the proxy.
 
 use crate::balancer::LoadReport;
+use crate::configuration::tenants::ApiKey;
 
 /// One segment of a prompt, shared with all requests that name the same id.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -30,6 +31,21 @@
     pub prompt_segments: Vec<PromptSegment>,
     /// The client resumes a stream after this event.
     pub last_event: Option<u64>,
+    /// The key by which the client identifies its tenant.
+    pub api_key: Option<ApiKey>,
+}
+
+impl RequestMetadata {
+    /// Reads a value of the header `Authorization` (RFC 9110, section 11.6.2)
+    /// with the scheme `Bearer` (RFC 6750). Any other value, or a second one,
+    /// is no tenant's key.
+    pub fn read_authorization(&mut self, value: &[u8]) {
+        let repeated = self.api_key.is_some();
+        let value = std::str::from_utf8(value).ok().map(str::trim);
+        let (scheme, key) = value.and_then(|v| v.split_once(' ')).unwrap_or_default();
+        let valid = scheme.eq_ignore_ascii_case("bearer") && !repeated;
+        self.api_key = Some(ApiKey::new(if valid { key.trim() } else { "" }));
+    }
 }
 
 /// What the proxy tells a worker beside the client's own headers.
@@ -43,6 +59,8 @@
     pub priority: Option<u8>,
     /// Resume the stream after this event.
     pub last_event: Option<u64>,
+    /// Name of the tenant whose key the client sent.
+    pub tenant: Option<&'a str>,
 }
 
 /// What the headers of a worker's response say.
@@ -68,7 +86,8 @@
 /// decides nothing itself.
 pub trait Dialect: Send + Sync + 'static {
     /// Reads one header of a request; true if it must not be forwarded as it
-    /// is, because [`Dialect::write_forward_headers`] replaces it.
+    /// is, because [`Dialect::write_forward_headers`] replaces it or because it
+    /// is for this node alone, as a key is.
     fn read_request_header(&self, name: &str, value: &[u8], metadata: &mut RequestMetadata)
         -> bool;
 
--- a/sorreldoor/src/proxy/plain_dialect.rs
+++ b/sorreldoor/src/proxy/plain_dialect.rs
@@ -69,7 +69,11 @@
                 metadata.last_event = value.parse().ok();
                 return true;
             }
-            "x-worker" | "x-priority" => return true,
+            "authorization" => {
+                metadata.read_authorization(value.as_bytes());
+                return true;
+            }
+            "x-worker" | "x-priority" | "x-tenant" => return true,
             _ => {}
         }
         false
@@ -90,6 +94,9 @@
         if let Some(event) = headers.last_event {
             write("last-event-id", event.to_string());
         }
+        if let Some(tenant) = headers.tenant {
+            write("x-tenant", tenant.to_string());
+        }
     }
 
     fn read_response_header(
--- a/sorreldoor/src/proxy/upstream/request_sender.rs
+++ b/sorreldoor/src/proxy/upstream/request_sender.rs
@@ -110,6 +110,7 @@
         remaining_ms: exchange.time_left(),
         priority: exchange.target.priority,
         last_event,
+        tenant: exchange.target.tenant.as_deref(),
     };
     exchange
         .shared
--- a/sorreldoor/src/replicated_state/change.rs
+++ b/sorreldoor/src/replicated_state/change.rs
@@ -269,6 +269,8 @@
             rest: Some(&rest),
             services: ListChange::of(set, drop, "services"),
             routes: ListChange::of(set, drop, "routes"),
+            tenants: ListChange::of(set, drop, "tenants"),
+            has_tenants: document.has_tenants(),
         };
         let hosted = current.hosted.clone().unwrap_or_default();
         let hosted = change.apply(&hosted, &self.site)?;
--- a/sorreldoor/src/replicated_state/document.rs
+++ b/sorreldoor/src/replicated_state/document.rs
@@ -16,6 +16,9 @@
 const HOSTED: &str = "hosted";
 const ROUTES: &str = "routes";
 const SERVICES: &str = "services";
+const TENANTS: &str = "tenants";
+/// The lists that are stored item by item, in the order they are validated.
+const LISTS: [&str; 3] = [SERVICES, ROUTES, TENANTS];
 
 /// The document without the lists that are stored item by item, as canonical
 /// JSON.
@@ -43,6 +46,9 @@
     rest_revision: u64,
     routes: ItemList,
     services: ItemList,
+    /// Releases before protocol 6 kept them among the rest.
+    #[serde(default)]
+    tenants: ItemList,
 }
 
 /// Sizes of a document's parts. Logs show them, and never the content, which
@@ -53,6 +59,8 @@
     pub routes: usize,
     /// Items in the list `hosted.services`.
     pub services: usize,
+    /// Items in the list `hosted.tenants`.
+    pub tenants: usize,
     /// Length of the rest of the `hosted` section as JSON text.
     pub rest_bytes: usize,
 }
@@ -61,8 +69,8 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(
             f,
-            "{} routes, {} services, {} bytes of other settings",
-            self.routes, self.services, self.rest_bytes
+            "{} routes, {} services, {} tenants, {} bytes of other settings",
+            self.routes, self.services, self.tenants, self.rest_bytes
         )
     }
 }
@@ -76,6 +84,8 @@
     pub services: ListDelta,
     /// Changes of the list `hosted.routes`.
     pub routes: ListDelta,
+    /// Changes of the list `hosted.tenants`.
+    pub tenants: ListDelta,
 }
 
 impl DocumentDelta {
@@ -89,13 +99,17 @@
             return Ok(None);
         }
         let rest = rest.and_then(|h| h.as_deref()).map(json::parse_canonical);
-        let (services, routes) = (self.services.values(), self.routes.values());
+        let services = self.services.values();
+        let routes = self.routes.values();
+        let tenants = self.tenants.values();
         let change = HostedChange {
             rest: rest.as_ref(),
             services: list_change(&services, &self.services),
             routes: list_change(&routes, &self.routes),
+            tenants: list_change(&tenants, &self.tenants),
+            has_tenants: self.tenants.present,
         };
-        if change.is_empty() {
+        if change.is_empty(old) {
             return Ok(None);
         }
         change.apply(old, site).map(Some)
@@ -118,6 +132,7 @@
         let list = |key| hosted.and_then(|h| h.get(key)).and_then(|l| l.as_array());
         self.services.replace(list(SERVICES), revision);
         self.routes.replace(list(ROUTES), revision);
+        self.tenants.replace(list(TENANTS), revision);
     }
 
     fn set_rest(&mut self, rest: DocumentRest, revision: u64) {
@@ -138,7 +153,7 @@
         };
         let mut hosted = self.hosted_rest();
         for (key, value) in all.iter() {
-            if key != ROUTES && key != SERVICES {
+            if !LISTS.contains(&key.as_str()) {
                 let _ = hosted.insert(key.as_str(), value.clone());
             }
         }
@@ -147,13 +162,26 @@
             hosted: Some(json::canonical(&hosted).into()),
         };
         self.set_rest(rest, revision);
-        for (key, list) in [(SERVICES, &mut self.services), (ROUTES, &mut self.routes)] {
+        for key in LISTS {
             let (set, drop) = (list_at(set, key)?, list_at(drop, key)?);
-            list.change(key, set, drop, revision)?;
+            self.list_mut(key).change(key, set, drop, revision)?;
         }
         Ok(())
     }
 
+    fn list_mut(&mut self, key: &str) -> &mut ItemList {
+        match key {
+            SERVICES => &mut self.services,
+            ROUTES => &mut self.routes,
+            _ => &mut self.tenants,
+        }
+    }
+
+    /// Whether the `hosted` section has a list of tenants.
+    pub fn has_tenants(&self) -> bool {
+        self.tenants.present()
+    }
+
     /// The `hosted` section without its lists.
     pub fn hosted_rest(&self) -> Value {
         json::parse_canonical(self.rest.hosted.as_deref().unwrap_or("{}"))
@@ -164,6 +192,7 @@
         DocumentSummary {
             routes: self.routes.len(),
             services: self.services.len(),
+            tenants: self.tenants.len(),
             rest_bytes: self.rest.hosted.as_ref().map_or(0, |text| text.len()),
         }
     }
@@ -171,7 +200,8 @@
     /// The approximate length of the text in bytes.
     pub fn bytes(&self) -> usize {
         let hosted = self.rest.hosted.as_ref().map_or(0, |h| h.len());
-        self.rest.outer.len() + hosted + self.routes.bytes() + self.services.bytes()
+        let lists = self.routes.bytes() + self.services.bytes() + self.tenants.bytes();
+        self.rest.outer.len() + hosted + lists
     }
 
     /// The complete document as canonical JSON.
@@ -181,7 +211,11 @@
         };
         let mut text = String::with_capacity(self.bytes() + 64);
         text.push_str("{\"hosted\":{");
-        let lists = [(ROUTES, &self.routes), (SERVICES, &self.services)];
+        let lists = [
+            (ROUTES, &self.routes),
+            (SERVICES, &self.services),
+            (TENANTS, &self.tenants),
+        ];
         for (key, list) in lists.iter().filter(|(_, l)| l.present()) {
             text.push_str(&format!("{key:?}:"));
             list.write(&mut text);
@@ -202,6 +236,7 @@
             rest: Some(self.rest.clone()).filter(|_| new_rest),
             services: self.services.delta_since(from)?,
             routes: self.routes.delta_since(from)?,
+            tenants: self.tenants.delta_since(from)?,
         })
     }
 
@@ -211,6 +246,7 @@
             rest: Some(self.rest.clone()),
             services: self.services.as_delta(),
             routes: self.routes.as_delta(),
+            tenants: self.tenants.as_delta(),
         }
     }
 
@@ -221,12 +257,22 @@
         }
         self.services.apply(&delta.services, revision);
         self.routes.apply(&delta.routes, revision);
+        self.tenants.apply(&delta.tenants, revision);
     }
 
-    /// Rebuilds the indices, which are not serialized.
+    /// Rebuilds the indices, which are not serialized, and takes the tenants
+    /// of an earlier release out of the rest.
     pub(super) fn index(&mut self) {
         self.services.index();
         self.routes.index();
+        self.tenants.index();
+        let mut hosted = self.hosted_rest();
+        let tenants = hosted.get(TENANTS).and_then(|t| t.as_array()).cloned();
+        if let Some(tenants) = tenants {
+            let _ = hosted.remove(TENANTS);
+            self.rest.hosted = Some(json::canonical(&hosted).into());
+            self.tenants.replace(Some(&tenants), self.rest_revision);
+        }
     }
 }
 
@@ -236,7 +282,7 @@
     let hosted = hosted.filter(|h| h.is_object()).map(|h| {
         let _ = outer.remove(HOSTED);
         let mut rest = h.clone();
-        for key in [ROUTES, SERVICES] {
+        for key in LISTS {
             if rest.get(key).is_some_and(|l| l.is_array()) {
                 let _ = rest.remove(key);
             }
--- a/sorreldoor/src/replicated_state/item_list.rs
+++ b/sorreldoor/src/replicated_state/item_list.rs
@@ -151,7 +151,7 @@
         drop: &[Value],
         revision: Revision,
     ) -> Result<(), String> {
-        self.present = true;
+        self.present |= !set.is_empty() || !drop.is_empty();
         let mut names = HashSet::new();
         for item in set {
             let name = name_of(item).ok_or(format!("set.{key}: every item needs a name"))?;
--- a/sorreldoor/src/wire/codec.rs
+++ b/sorreldoor/src/wire/codec.rs
@@ -5,7 +5,7 @@
 
 /// Version of the protocol, raised when a frame changes in a way that an older
 /// node cannot read. Nodes of different versions refuse each other.
-pub const PROTO: u16 = 5;
+pub const PROTO: u16 = 6;
 /// Bytes of a frame without its length prefix, at most. The largest
 /// configuration fits, with the outcomes that a snapshot keeps beside it.
 pub const MOST_FRAME: usize = 16 << 20;
--- a/sorreldoor/tests/pages.rs
+++ b/sorreldoor/tests/pages.rs
@@ -236,11 +236,12 @@
         remaining_ms: 1,
         priority: Some(1),
         last_event: Some(1),
+        tenant: Some("t"),
     };
     let mut header_bytes = Vec::new();
     PlainDialect.write_forward_headers(&headers, &mut header_bytes);
     let lines = String::from_utf8(header_bytes).unwrap();
-    assert_eq!(lines.lines().count(), 4);
+    assert_eq!(lines.lines().count(), 5);
     for line in lines.lines() {
         let (key, _) = line.split_once(':').unwrap();
         assert!(text.contains(&format!("| `{key}` | ")), "{key}");
--- a/testbed/src/emulator/baseline.rs
+++ b/testbed/src/emulator/baseline.rs
@@ -154,6 +154,7 @@
                         time_left_ms: h.deadline.saturating_sub(now),
                         priority: Some(r.priority),
                         max_conns: 64,
+                        tenant: None,
                         new_connection: false,
                     })
                 }
--- a/testbed/src/emulator/control_plane.rs
+++ b/testbed/src/emulator/control_plane.rs
@@ -42,6 +42,7 @@
             resume: c.resume,
             gap_ms: c.gap_ms,
             homes: c.homes.clone(),
+            public: false,
         });
         let mut h = Hosted {
             services: services.collect(),
--- a/testbed/src/emulator/node.rs
+++ b/testbed/src/emulator/node.rs
@@ -118,6 +118,7 @@
             tokens_out: 0,
             prompt_segments: a.parts.clone(),
             last_event: Some(u64::from(tr.from)).filter(|l| *l > 0),
+            api_key: None,
         };
         let path = format!("/{}/x", c.name);
         let (from, x) = (tr.from, &mut self.nodes[n]);
