Lists of named items change by name, known or not; tests of tenants at every layer

Lists that the product gives no meaning are now changed by name too, and names to delete from them are no longer ignored.

--- a/sorreldoor/src/replicated_state/document.rs
+++ b/sorreldoor/src/replicated_state/document.rs
@@ -3,6 +3,7 @@
 //! rest as text. Clones share what they have in common.
 
 use super::item_list::{ItemList, ListDelta};
+use super::named_items;
 use crate::configuration::hosted::Hosted;
 use crate::configuration::hosted_change::{HostedChange, ListChange};
 use crate::configuration::Site;
@@ -142,8 +143,9 @@
         }
     }
 
-    /// Sets and deletes items of the `hosted` lists; other keys of `set`
-    /// replace those of the `hosted` section.
+    /// Sets and deletes items of the `hosted` lists, also of lists of named
+    /// items that this release gives no meaning; any other key of `set`
+    /// replaces that of the `hosted` section.
     ///
     /// # Errors
     /// The change is malformed; the document may then be partly changed.
@@ -152,9 +154,15 @@
             return Err("set and drop must be objects".into());
         };
         let mut hosted = self.hosted_rest();
-        for (key, value) in all.iter() {
-            if !LISTS.contains(&key.as_str()) {
-                let _ = hosted.insert(key.as_str(), value.clone());
+        let is_rest = |key: &str| !LISTS.contains(&key);
+        for (key, value) in all.iter().filter(|(key, _)| is_rest(key)) {
+            let items = named_items::changed(hosted.get(key.as_str()), value);
+            let _ = hosted.insert(key.as_str(), items.unwrap_or_else(|| value.clone()));
+        }
+        for (key, names) in drop.as_object().into_iter().flatten() {
+            let left = named_items::without(hosted.get(key.as_str()), names, all.get(key));
+            if let Some(left) = left.filter(|_| is_rest(key)) {
+                let _ = hosted.insert(key.as_str(), left);
             }
         }
         let rest = DocumentRest {
--- a/sorreldoor/src/replicated_state/mod.rs
+++ b/sorreldoor/src/replicated_state/mod.rs
@@ -8,6 +8,7 @@
 mod deduplication;
 mod document;
 mod item_list;
+mod named_items;
 mod persistent;
 mod state_update;
 
--- a/sorreldoor/tests/balancer.rs
+++ b/sorreldoor/tests/balancer.rs
@@ -21,6 +21,8 @@
 mod nodes;
 #[path = "balancer/simulation.rs"]
 mod simulation;
+#[path = "balancer/tenants.rs"]
+mod tenants;
 #[path = "balancer/unresponsive.rs"]
 mod unresponsive;
 #[path = "balancer/workload.rs"]
--- /dev/null
+++ b/sorreldoor/tests/formats/legacy.rs
@@ -0,0 +1,45 @@
+//! Snapshots of earlier releases are read.
+
+use super::parse_hex;
+use sorreldoor::configuration::tenants::ApiKey;
+use sorreldoor::configuration::Site;
+use sorreldoor::consensus::StateMachine;
+use sorreldoor::replicated_state::{Command, Outcome, ReplicatedState};
+use std::sync::Arc;
+
+/// A snapshot of the release with protocol 5, which knew no tenants and kept
+/// their list among the other settings.
+const RECORD_OF_PROTOCOL_5: &str = include_str!("record-protocol-5.txt");
+
+#[test]
+fn tenants_of_a_release_that_did_not_know_them_are_in_force() {
+    let site = Site {
+        regions: vec!["r".into()],
+        zones: vec![("z".into(), 0)],
+    };
+    let mut state = ReplicatedState::new(Arc::new(site));
+    assert!(state.load(&parse_hex(RECORD_OF_PROTOCOL_5.trim())));
+    let hosted = |state: &ReplicatedState| {
+        let configuration = state.configuration().expect("a configuration");
+        configuration.hosted.clone().expect("hosted routes")
+    };
+    let holder = |state: &ReplicatedState, key: &str| {
+        let hosted = hosted(state);
+        let tenant = hosted.tenants.holder_of(&ApiKey::new(key));
+        tenant.map(|tenant| tenant.name.to_string())
+    };
+    assert!(hosted(&state).tenants.required());
+    assert_eq!(holder(&state, "k1").as_deref(), Some("desk"));
+    assert_eq!(hosted(&state).limits.idle_ms, 2000);
+    assert_eq!(state.document_summary().tenants, 2);
+    let change = Command::ChangeItems {
+        base: 4,
+        new_version: None,
+        set: "{}".into(),
+        drop: r#"{"tenants":["museum"]}"#.into(),
+    };
+    let (outcome, state) = state.dry_run(change);
+    assert_eq!(outcome, Outcome::Applied { version: 5 });
+    assert_eq!(holder(&state, "k2"), None);
+    assert_eq!(holder(&state, "k1").as_deref(), Some("desk"));
+}
--- a/sorreldoor/tests/formats/main.rs
+++ b/sorreldoor/tests/formats/main.rs
@@ -7,6 +7,7 @@
 //! deliberate change of format, with a new `PROTO` and a reader for the old
 //! data, may replace a line (`SORRELDOOR_WRITE_SAMPLES=1 cargo test`).
 
+mod legacy;
 mod messages;
 mod samples;
 
--- a/sorreldoor/tests/updates.rs
+++ b/sorreldoor/tests/updates.rs
@@ -16,6 +16,8 @@
 mod costs;
 #[path = "updates/delivery.rs"]
 mod delivery;
+#[path = "updates/tenants.rs"]
+mod tenants;
 
 fn site() -> Arc<Site> {
     Arc::new(Site {
