Soak of hosted routes: kept connections under series of trouble that overlap

Clients use each connection until the peer ends it (busy, resting, streaming, uploading); SIGTERM, SIGHUP, SIGKILL, STOP and CONT of edges and cores, lost disks, all cores at once, lives of workers, racing, repeated and invalid changes, keys and routes that come and go overlap by seed. Eight rules, each with a test that sees it fail, check what clients, workers and operator saw.

--- a/sorreldoor/src/invariants.rs
+++ b/sorreldoor/src/invariants.rs
@@ -41,6 +41,8 @@
     Allowed "allowed";
     // A request runs only with a key of a tenant, unless its route is public.
     Authenticated "authenticated";
+    // The key of a tenant is withheld from workers.
+    KeyWithheld "key-withheld";
     // A home-bound request stays in its home region.
     Home "home";
     // Requests go to another region only where a spill limit allows it.
--- a/sorreldoor/src/proxy/dialect.rs
+++ b/sorreldoor/src/proxy/dialect.rs
@@ -3,6 +3,7 @@
 
 use crate::balancer::LoadReport;
 use crate::configuration::tenants::ApiKey;
+use crate::invariants::{broken, Invariant};
 
 /// One segment of a prompt, shared with all requests that name the same id.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -38,13 +39,15 @@
 impl RequestMetadata {
     /// Reads a value of the header `Authorization` (RFC 9110, section 11.6.2)
     /// with the scheme `Bearer` (RFC 6750). Any other value, or a second one,
-    /// is no tenant's key.
-    pub fn read_authorization(&mut self, value: &[u8]) {
+    /// is no tenant's key. Returns whether the header is withheld from
+    /// workers, which it always is.
+    pub fn read_authorization(&mut self, value: &[u8]) -> bool {
         let repeated = self.api_key.is_some();
         let value = std::str::from_utf8(value).ok().map(str::trim);
         let (scheme, key) = value.and_then(|v| v.split_once(' ')).unwrap_or_default();
         let valid = scheme.eq_ignore_ascii_case("bearer") && !repeated;
         self.api_key = Some(ApiKey::new(if valid { key.trim() } else { "" }));
+        !broken(Invariant::KeyWithheld)
     }
 }
 
--- a/sorreldoor/src/proxy/plain_dialect.rs
+++ b/sorreldoor/src/proxy/plain_dialect.rs
@@ -70,8 +70,7 @@
                 return true;
             }
             "authorization" => {
-                metadata.read_authorization(value.as_bytes());
-                return true;
+                return metadata.read_authorization(value.as_bytes());
             }
             "x-worker" | "x-priority" | "x-tenant" => return true,
             _ => {}
--- /dev/null
+++ b/testbed/src/hosted_soak/checks.rs
@@ -0,0 +1,264 @@
+//! What must hold of all that was recorded: each rule is a function that
+//! returns what breaks it.
+
+use super::plan::{Handling, Plan, RouteKind};
+use super::records::{
+    ChangeRecord, ChangeState, Disturbance, DisturbanceRecord, Ending, Millis, RequestRecord,
+    RunRecord,
+};
+use std::collections::HashMap;
+
+/// A closed connection is excused for so long after the last byte of a
+/// request that was not passed on, with some time for a busy machine.
+const LOST_MS: Millis = 500;
+/// The statuses that promise that a request has not run and never will.
+const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
+
+/// The records of a soak that has ended.
+pub struct Evidence<'a> {
+    pub requests: &'a [RequestRecord],
+    pub runs: &'a [RunRecord],
+    pub changes: &'a [ChangeRecord],
+    pub disturbances: &'a [DisturbanceRecord],
+    /// Indices of the cores among the processes.
+    pub cores: std::ops::Range<usize>,
+    /// Milliseconds after an acknowledgement until a change is in force.
+    pub apply_ms: Millis,
+    /// For so long before a request its edge and the cores must be undisturbed
+    /// for rules with a time bound.
+    pub contact_ms: Millis,
+}
+
+impl Evidence<'_> {
+    fn runs_by_id(&self) -> HashMap<&str, Vec<&RunRecord>> {
+        let mut by_id: HashMap<&str, Vec<&RunRecord>> = HashMap::new();
+        for run in self.runs {
+            by_id.entry(&run.attempt_id).or_default().push(run);
+        }
+        by_id
+    }
+
+    /// Whether a process was disturbed in a span, by what counts.
+    fn disturbed(&self, process: usize, span: (Millis, Millis), planned_counts: bool) -> bool {
+        self.disturbances.iter().any(|d| {
+            d.process == process
+                && (planned_counts || d.kind == Disturbance::Unplanned)
+                && (span.0..=span.1).contains(&d.at)
+        })
+    }
+
+    /// Whether the edge of a request and all cores were left alone for long
+    /// enough before it, and until its end.
+    fn in_touch(&self, request: &RequestRecord) -> bool {
+        let span = (
+            request.sent_at.saturating_sub(self.contact_ms),
+            request.ended_at,
+        );
+        let mut processes = self.cores.clone().chain([request.edge]);
+        !processes.any(|process| self.disturbed(process, span, true))
+    }
+
+    fn kind_of(&self, path: &str) -> Option<RouteKind> {
+        let mut plans = self.changes.iter().map(|change| &change.plan);
+        plans.find_map(|plan| plan.route_of(path).map(|route| route.kind))
+    }
+
+    /// The configurations that may be in force for a request at an edge in
+    /// touch: the newest that had to be, and all later ones sent by then.
+    fn may_be_in_force(&self, request: &RequestRecord) -> Vec<&Plan> {
+        let due = |change: &&ChangeRecord| match change.state {
+            ChangeState::Acknowledged { at } => at + self.apply_ms < request.sent_at,
+            _ => false,
+        };
+        let newest_due = self
+            .changes
+            .iter()
+            .filter(due)
+            .map(|c| c.plan.version)
+            .max();
+        let sent = self
+            .changes
+            .iter()
+            .filter(|c| c.sent_at <= request.ended_at);
+        sent.filter(|c| c.state != ChangeState::Refused)
+            .map(|c| &c.plan)
+            .filter(|plan| newest_due.is_none_or(|due| plan.version >= due))
+            .collect()
+    }
+}
+
+/// A rule: what breaks it, in words.
+pub type Rule = fn(&Evidence) -> Vec<String>;
+
+/// All rules with their names.
+pub const RULES: [(&str, Rule); 8] = [
+    ("whole-answers", whole_answers),
+    ("run-once", run_once),
+    ("promises", promises),
+    ("tries", tries),
+    ("allowed", allowed),
+    ("in-force", in_force),
+    ("keys-withheld", keys_withheld),
+    ("answered", answered),
+];
+
+/// Every success is whole, and the worker's own answer to this request.
+pub fn whole_answers(evidence: &Evidence) -> Vec<String> {
+    let faults = evidence.requests.iter().filter_map(|request| {
+        let Ending::Answered { fault, .. } = &request.ending else {
+            return None;
+        };
+        let fault = fault.as_ref()?;
+        Some(format!("{} {}: {fault}", request.attempt_id, request.path))
+    });
+    faults.collect()
+}
+
+/// A request that may run once runs at most once.
+pub fn run_once(evidence: &Evidence) -> Vec<String> {
+    let runs = evidence.runs_by_id();
+    let twice = runs.iter().filter(|(_, runs)| {
+        runs.len() > 1 && evidence.kind_of(&runs[0].path) == Some(RouteKind::Once)
+    });
+    twice
+        .map(|(id, runs)| format!("{id} {} ran {} times", runs[0].path, runs.len()))
+        .collect()
+}
+
+/// A request that may run once and was promised not to run has not run.
+pub fn promises(evidence: &Evidence) -> Vec<String> {
+    let runs = evidence.runs_by_id();
+    let broken = evidence.requests.iter().filter(|request| {
+        let promised = matches!(&request.ending, Ending::Answered { status, .. } if NOT_RUN_STATUSES.contains(status));
+        promised
+            && runs.contains_key(request.attempt_id.as_str())
+            && evidence.kind_of(&request.path) == Some(RouteKind::Once)
+    });
+    broken
+        .map(|request| format!("{} ran, though {:?}", request.attempt_id, request.ending))
+        .collect()
+}
+
+/// A request runs on as many workers as its route allows.
+pub fn tries(evidence: &Evidence) -> Vec<String> {
+    let most = |path: &str| {
+        let plans = evidence.changes.iter().map(|change| &change.plan);
+        let routes = plans.filter_map(|plan| plan.route_of(path));
+        routes.map(|route| route.tries as usize).max().unwrap_or(0)
+    };
+    let runs = evidence.runs_by_id();
+    let over = runs
+        .iter()
+        .filter(|(_, runs)| runs.len() > most(&runs[0].path));
+    over.map(|(id, runs)| format!("{id} {} ran on {} workers", runs[0].path, runs.len()))
+        .collect()
+}
+
+/// A worker runs only what some configuration sent by then allows: route,
+/// service and tenant.
+pub fn allowed(evidence: &Evidence) -> Vec<String> {
+    let requests: HashMap<&str, &RequestRecord> = evidence
+        .requests
+        .iter()
+        .map(|request| (request.attempt_id.as_str(), request))
+        .collect();
+    let mut broken = Vec::new();
+    for run in evidence.runs {
+        let Some(request) = requests.get(run.attempt_id.as_str()) else {
+            broken.push(format!("{} was sent by no client", run.attempt_id));
+            continue;
+        };
+        let ran = handling_of(run);
+        let sent = evidence.changes.iter().filter(|c| c.sent_at <= run.at);
+        let mut plans = sent
+            .filter(|c| c.state != ChangeState::Refused)
+            .map(|c| &c.plan);
+        if !plans.any(|plan| plan.handling(&request.path, request.key.as_deref()) == ran) {
+            broken.push(format!(
+                "{} {} with {:?}: {ran:?}, which no configuration says",
+                run.attempt_id, request.path, request.key
+            ));
+        }
+    }
+    broken
+}
+
+fn handling_of(run: &RunRecord) -> Handling {
+    Handling::Runs {
+        service: run.service.clone(),
+        tenant: run.tenant.clone(),
+    }
+}
+
+/// At an edge in touch an acknowledged configuration is in force in time, and
+/// no older one comes back.
+pub fn in_force(evidence: &Evidence) -> Vec<String> {
+    let runs = evidence.runs_by_id();
+    let mut broken = Vec::new();
+    for request in evidence.requests.iter().filter(|r| evidence.in_touch(r)) {
+        let seen = match &request.ending {
+            Ending::Answered { status: 404, .. } => Handling::NoRoute,
+            Ending::Answered { status: 401, .. } => Handling::NoKey,
+            Ending::Answered { status: 200, .. } => match runs.get(request.attempt_id.as_str()) {
+                Some(runs) => handling_of(runs[runs.len() - 1]),
+                None => continue,
+            },
+            _ => continue,
+        };
+        let plans = evidence.may_be_in_force(request);
+        let key = request.key.as_deref();
+        if !plans
+            .iter()
+            .any(|plan| plan.handling(&request.path, key) == seen)
+        {
+            let versions: Vec<u64> = plans.iter().map(|plan| plan.version).collect();
+            broken.push(format!(
+                "{} {} with {key:?}, sent at {} ms: {seen:?}, not as any of versions {versions:?}",
+                request.attempt_id, request.path, request.sent_at
+            ));
+        }
+    }
+    broken
+}
+
+/// No worker receives a key.
+pub fn keys_withheld(evidence: &Evidence) -> Vec<String> {
+    let leaks = evidence.runs.iter().filter(|run| run.key_seen);
+    leaks
+        .map(|run| {
+            format!(
+                "{} {} reached a worker with its key",
+                run.attempt_id, run.path
+            )
+        })
+        .collect()
+}
+
+/// A request that an edge has read is answered, unless the edge was killed or
+/// paused, or its worker broke off.
+pub fn answered(evidence: &Evidence) -> Vec<String> {
+    let runs = evidence.runs_by_id();
+    let lost = evidence.requests.iter().filter(|request| {
+        if request.ending != Ending::Closed {
+            return false;
+        }
+        let span = (request.sent_at, request.ended_at);
+        let runs = runs.get(request.attempt_id.as_str());
+        let broke_off = runs.is_some_and(|runs| runs.iter().any(|run| run.crashed));
+        let passed_on = runs.is_some();
+        let late = request.ended_at > request.sent_at + LOST_MS;
+        let excused = evidence.disturbed(request.edge, span, false);
+        (passed_on || late) && !broke_off && !excused
+    });
+    lost.map(|request| {
+        format!(
+            "{} {} at process {}: closed without an answer, {} ms after it was sent at {} ms",
+            request.attempt_id,
+            request.path,
+            request.edge,
+            request.ended_at - request.sent_at,
+            request.sent_at
+        )
+    })
+    .collect()
+}
--- /dev/null
+++ b/testbed/src/hosted_soak/clients.rs
@@ -0,0 +1,321 @@
+//! Clients that use each connection until the peer ends it.
+
+use super::plan::{key, RouteKind, HOST, IDLE_MS};
+use super::processes::{ProcessFleet, ProcessRole};
+use super::records::{Ending, Records, RequestRecord};
+use super::workers::{event, plain_body, stream_request};
+use crate::rand::Rand;
+use crate::sync::lock;
+use async_std::future::timeout;
+use async_std::net::TcpStream;
+use async_std::prelude::*;
+use async_std::task::sleep;
+use platform::dialect::{ATTEMPT, DEADLINE, SEAL};
+use sorreldoor::proxy::http1::{parse_response_head, BodyDecoder, Head, ReadBuffer};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// How long a client waits for an answer, in milliseconds.
+const DEADLINE_MS: u64 = 4000;
+/// It waits this much longer than it says.
+const PATIENCE: Duration = Duration::from_millis(DEADLINE_MS + 1500);
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// What a client does between and within its requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Habit {
+    /// One request after the other.
+    Busy,
+    /// Rests for up to four fifths of the time that an idle connection lasts.
+    Resting,
+    /// Asks for streams.
+    Streaming,
+    /// Sends its bodies in two parts.
+    Uploading,
+}
+
+const HABITS: [Habit; 4] = [
+    Habit::Busy,
+    Habit::Resting,
+    Habit::Streaming,
+    Habit::Uploading,
+];
+
+/// One request before it is sent.
+struct Draft {
+    path: String,
+    key: Option<String>,
+    body: String,
+    events: Option<u64>,
+}
+
+/// One client with its connection.
+pub struct SoakClient {
+    fleet: Arc<ProcessFleet>,
+    records: Arc<Records>,
+    random: Rand,
+    habit: Habit,
+    connection: Option<Connection>,
+}
+
+struct Connection {
+    stream: TcpStream,
+    buffer: ReadBuffer,
+    /// Index of the process among all.
+    process: usize,
+}
+
+impl SoakClient {
+    pub fn new(
+        fleet: Arc<ProcessFleet>,
+        records: Arc<Records>,
+        seed: u64,
+        number: usize,
+    ) -> SoakClient {
+        SoakClient {
+            fleet,
+            records,
+            random: Rand::new(seed.wrapping_mul(1000).wrapping_add(number as u64)),
+            habit: HABITS[number % HABITS.len()],
+            connection: None,
+        }
+    }
+
+    /// Sends requests until the soak is over.
+    pub async fn run(mut self) {
+        while !self.records.stopped() {
+            let Some(mut connection) = self.connected().await else {
+                sleep(Duration::from_millis(50)).await;
+                continue;
+            };
+            let draft = self.draft();
+            let (record, head) = self.exchange(&mut connection, &draft).await;
+            let kept = matches!(record.ending, Ending::Answered { .. });
+            lock(&self.records.requests).push(record);
+            let closes = head.as_ref().is_none_or(Head::closes);
+            if kept && !closes {
+                self.connection = Some(connection);
+            }
+            self.rest(head.as_ref()).await;
+        }
+    }
+
+    /// Its own connection, or a new one to an edge that says that it is ready.
+    async fn connected(&mut self) -> Option<Connection> {
+        if let Some(connection) = self.connection.take() {
+            return Some(connection);
+        }
+        let edges: Vec<_> = self.fleet.with_role(ProcessRole::Edge).collect();
+        let edge = edges[self.random.below(edges.len() as u64) as usize];
+        if !is_ready(edge.ready_addr()).await {
+            return None;
+        }
+        let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(edge.edge_addr())).await;
+        let stream = stream.ok()?.ok()?;
+        let _ = stream.set_nodelay(true);
+        let connections = &self.records.connections;
+        connections.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+        Some(Connection {
+            stream,
+            buffer: ReadBuffer::default(),
+            process: edge.index,
+        })
+    }
+
+    fn draft(&mut self) -> Draft {
+        let plan = self.records.newest_plan();
+        let routes = plan.as_ref().map(|plan| plan.routes.as_slice());
+        let routes = routes.unwrap_or_default();
+        let wanted = |kind: RouteKind| match self.habit {
+            Habit::Streaming => kind == RouteKind::Stream,
+            _ => kind != RouteKind::Stream,
+        };
+        let names: Vec<&str> = routes
+            .iter()
+            .filter(|route| wanted(route.kind))
+            .map(|route| route.name.as_str())
+            .collect();
+        let name = match self.random.below(20) {
+            // perhaps removed by now, or never there
+            0 => format!("added{}", self.random.below(12)),
+            1 => "nowhere".to_string(),
+            _ if names.is_empty() => "page".to_string(),
+            _ => names[self.random.below(names.len() as u64) as usize].to_string(),
+        };
+        let tenant = format!("tenant{}", self.random.below(7));
+        let key = match self.random.below(20) {
+            0 => None,
+            1 => Some("secret-guessed".to_string()),
+            // of the last ones, some are revoked and some not added yet
+            2..=5 => Some(key(&tenant, self.random.below(8))),
+            _ => plan.as_ref().and_then(|plan| self.known_key(plan)),
+        };
+        let streams = self.habit == Habit::Streaming;
+        let events = streams.then(|| 3 + self.random.below(40));
+        let body = match events {
+            Some(events) => stream_request(events),
+            None => "x".repeat(self.random.below(20_000) as usize),
+        };
+        Draft {
+            path: format!("/{name}/{}", self.random.below(1000)),
+            key,
+            body,
+            events,
+        }
+    }
+
+    fn known_key(&mut self, plan: &super::plan::Plan) -> Option<String> {
+        let keys: Vec<&String> = plan.tenants.iter().flat_map(|t| &t.keys).collect();
+        let index = self.random.below(keys.len() as u64) as usize;
+        keys.get(index).map(|key| key.to_string())
+    }
+
+    async fn exchange(
+        &mut self,
+        connection: &mut Connection,
+        draft: &Draft,
+    ) -> (RequestRecord, Option<Head>) {
+        let attempt_id = format!("{:016x}", self.records.next_id());
+        let authorization = draft
+            .key
+            .as_ref()
+            .map(|key| format!("Authorization: Bearer {key}\r\n"))
+            .unwrap_or_default();
+        let head = format!(
+            "POST {} HTTP/1.1\r\nHost: {HOST}\r\n{ATTEMPT}: {attempt_id}\r\n{DEADLINE}: {DEADLINE_MS}\r\n{authorization}Content-Length: {}\r\n\r\n",
+            draft.path,
+            draft.body.len()
+        );
+        let begun_at = self.records.now();
+        let sent = self.send(connection, &head, &draft.body).await;
+        let sent_at = self.records.now();
+        let (ending, answer_head) = match sent {
+            false => (Ending::NotSent, None),
+            true => {
+                let answer = read_answer(connection, &attempt_id, draft);
+                match timeout(PATIENCE, answer).await {
+                    Err(_) => (Ending::GivenUp, None),
+                    Ok(None) => (Ending::Closed, None),
+                    Ok(Some((head, fault))) => {
+                        let status = head.status;
+                        (Ending::Answered { status, fault }, Some(head))
+                    }
+                }
+            }
+        };
+        let record = RequestRecord {
+            attempt_id,
+            edge: connection.process,
+            path: draft.path.clone(),
+            key: draft.key.clone(),
+            // an edge may have acted from the first byte on
+            sent_at: match ending {
+                Ending::Answered { .. } => begun_at,
+                _ => sent_at,
+            },
+            ended_at: self.records.now(),
+            ending,
+        };
+        (record, answer_head)
+    }
+
+    async fn send(&mut self, connection: &mut Connection, head: &str, body: &str) -> bool {
+        let bytes = [head.as_bytes(), body.as_bytes()].concat();
+        let pause = self.habit == Habit::Uploading && !body.is_empty();
+        let cut = match pause {
+            true => head.len() + body.len() / 2,
+            false => bytes.len(),
+        };
+        let written = connection.stream.write_all(&bytes[..cut]).await.is_ok();
+        if !pause || !written {
+            return written;
+        }
+        sleep(Duration::from_millis(self.random.below(400))).await;
+        connection.stream.write_all(&bytes[cut..]).await.is_ok()
+    }
+
+    async fn rest(&mut self, head: Option<&Head>) {
+        let told = head
+            .and_then(|head| head.get("retry-after"))
+            .and_then(|seconds| seconds.trim().parse::<f64>().ok());
+        if let Some(seconds) = told {
+            return sleep(Duration::from_secs_f64(seconds.min(2.0))).await;
+        }
+        let limit = match self.habit {
+            Habit::Busy | Habit::Streaming => 10,
+            Habit::Uploading => 100,
+            Habit::Resting => IDLE_MS * 4 / 5,
+        };
+        sleep(Duration::from_millis(self.random.below(limit))).await;
+    }
+}
+
+/// Whether the platform would count the edge as ready.
+pub async fn is_ready(addr: SocketAddr) -> bool {
+    let asked = async {
+        let mut stream = TcpStream::connect(addr).await.ok()?;
+        let request = b"GET /api/readyz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
+        stream.write_all(request).await.ok()?;
+        let mut buffer = ReadBuffer::default();
+        read_head(&mut stream, &mut buffer).await
+    };
+    let head = timeout(CONNECT_TIMEOUT, asked).await.ok().flatten();
+    head.is_some_and(|head| head.status == 200)
+}
+
+async fn read_head(stream: &mut TcpStream, buffer: &mut ReadBuffer) -> Option<Head> {
+    loop {
+        if let Some(head) = parse_response_head(buffer).ok()? {
+            return Some(head);
+        }
+        if !matches!(buffer.fill(stream).await, Ok(count) if count > 0) {
+            return None;
+        }
+    }
+}
+
+/// Reads one answer; `None` if the connection ends before it is whole. With
+/// it comes what is wrong with it, if anything is.
+async fn read_answer(
+    connection: &mut Connection,
+    attempt_id: &str,
+    draft: &Draft,
+) -> Option<(Head, Option<String>)> {
+    let Connection { stream, buffer, .. } = connection;
+    let head = read_head(stream, buffer).await?;
+    let framing = head.response_framing("POST").ok()?;
+    let mut decoder = BodyDecoder::new(framing);
+    let mut body = Vec::new();
+    while !decoder.decode(buffer, &mut body).ok()? {
+        if !matches!(buffer.fill(stream).await, Ok(count) if count > 0) {
+            return None;
+        }
+    }
+    let fault = fault_of(&head, &body, attempt_id, draft);
+    Some((head, fault))
+}
+
+/// A success must be the worker's own, for this request, and whole.
+fn fault_of(head: &Head, body: &[u8], attempt_id: &str, draft: &Draft) -> Option<String> {
+    if head.status != 200 {
+        return None;
+    }
+    let sealed = head
+        .get(SEAL)
+        .is_some_and(|seal| seal.ends_with(attempt_id));
+    if !sealed || head.get(ATTEMPT) != Some(attempt_id) {
+        return Some("a success without the worker's own headers".into());
+    }
+    let expected = match draft.events {
+        Some(count) => (1..=count).map(|n| event(attempt_id, n)).collect(),
+        None => plain_body(attempt_id),
+    };
+    if body == expected.as_bytes() {
+        return None;
+    }
+    let body = String::from_utf8_lossy(body);
+    let end: String = body.chars().rev().take(60).collect();
+    let end: String = end.chars().rev().collect();
+    Some(format!("{} bytes, ending in {end:?}", body.len()))
+}
--- /dev/null
+++ b/testbed/src/hosted_soak/records.rs
@@ -0,0 +1,156 @@
+//! What clients, workers and the operator saw, for the checks at the end.
+
+use super::plan::Plan;
+use crate::sync::lock;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::Mutex;
+use std::time::Instant;
+
+/// Milliseconds since the soak began.
+pub type Millis = u64;
+
+/// How a request of a client ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Ending {
+    /// A final answer with this status; `fault` says what is wrong with it.
+    Answered { status: u16, fault: Option<String> },
+    /// The connection ended without a whole answer.
+    Closed,
+    /// The client gave up after its deadline.
+    GivenUp,
+    /// The request was not written completely.
+    NotSent,
+}
+
+/// One request of a client.
+#[derive(Clone, Debug)]
+pub struct RequestRecord {
+    pub attempt_id: String,
+    /// Index of the edge among the edges.
+    pub edge: usize,
+    pub path: String,
+    pub key: Option<String>,
+    pub sent_at: Millis,
+    pub ended_at: Millis,
+    pub ending: Ending,
+}
+
+/// One run of a request at a worker.
+#[derive(Clone, Debug)]
+pub struct RunRecord {
+    pub attempt_id: String,
+    pub path: String,
+    pub service: String,
+    pub tenant: Option<String>,
+    /// Something like a key stood in what the worker received.
+    pub key_seen: bool,
+    /// The worker crashed while it ran.
+    pub crashed: bool,
+    pub at: Millis,
+}
+
+/// What became of a change.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ChangeState {
+    /// No clear answer yet: it may be in force.
+    Undecided,
+    Acknowledged {
+        at: Millis,
+    },
+    Refused,
+}
+
+/// One configuration that the operator sent.
+#[derive(Clone, Debug)]
+pub struct ChangeRecord {
+    pub plan: Plan,
+    pub sent_at: Millis,
+    pub state: ChangeState,
+}
+
+/// A signal to a process, or another trouble that excuses one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Disturbance {
+    /// SIGTERM, SIGHUP: the process must still answer what it has read.
+    Planned,
+    /// SIGKILL, SIGSTOP, SIGCONT, a start: what it does meanwhile is excused.
+    Unplanned,
+}
+
+/// A disturbance of one process.
+#[derive(Clone, Copy, Debug)]
+pub struct DisturbanceRecord {
+    pub process: usize,
+    pub kind: Disturbance,
+    pub at: Millis,
+}
+
+/// All records of one soak.
+#[derive(Debug)]
+pub struct Records {
+    started: Instant,
+    stop: AtomicBool,
+    next_id: AtomicU64,
+    pub connections: AtomicU64,
+    pub requests: Mutex<Vec<RequestRecord>>,
+    pub runs: Mutex<Vec<RunRecord>>,
+    pub changes: Mutex<Vec<ChangeRecord>>,
+    pub disturbances: Mutex<Vec<DisturbanceRecord>>,
+    /// Rules that were seen broken while the soak ran.
+    pub violations: Mutex<Vec<String>>,
+}
+
+impl Default for Records {
+    fn default() -> Records {
+        Records {
+            started: Instant::now(),
+            stop: AtomicBool::new(false),
+            next_id: AtomicU64::new(1),
+            connections: AtomicU64::new(0),
+            requests: Mutex::default(),
+            runs: Mutex::default(),
+            changes: Mutex::default(),
+            disturbances: Mutex::default(),
+            violations: Mutex::default(),
+        }
+    }
+}
+
+impl Records {
+    pub fn now(&self) -> Millis {
+        self.started.elapsed().as_millis() as Millis
+    }
+
+    /// An id that no other request of this soak has.
+    pub fn next_id(&self) -> u64 {
+        self.next_id.fetch_add(1, Ordering::Relaxed)
+    }
+
+    pub fn stopped(&self) -> bool {
+        self.stop.load(Ordering::Relaxed)
+    }
+
+    pub fn stop(&self) {
+        self.stop.store(true, Ordering::Relaxed);
+    }
+
+    pub fn disturb(&self, process: usize, kind: Disturbance) {
+        let at = self.now();
+        lock(&self.disturbances).push(DisturbanceRecord { process, kind, at });
+    }
+
+    pub fn violation(&self, text: String) {
+        lock(&self.violations).push(text);
+    }
+
+    /// The newest configuration that was acknowledged, or the first one.
+    pub fn newest_plan(&self) -> Option<Plan> {
+        let changes = lock(&self.changes);
+        let acknowledged = changes
+            .iter()
+            .filter(|change| matches!(change.state, ChangeState::Acknowledged { .. }));
+        acknowledged
+            .max_by_key(|change| change.plan.version)
+            .map(|change| change.plan.clone())
+    }
+}
--- /dev/null
+++ b/testbed/src/hosted_soak/report.rs
@@ -0,0 +1,169 @@
+//! The result of a soak: counts, what was used, and what was broken.
+
+use super::operator::version_of;
+use super::plan::Plan;
+use super::processes::Usage;
+use super::records::{ChangeState, Disturbance, Ending, Records};
+use super::SoakOptions;
+use crate::sync::lock;
+use simd_json::prelude::*;
+use sorreldoor::json::{self, Value};
+use std::fmt;
+use std::sync::atomic::Ordering;
+
+/// The result of a soak.
+#[derive(Clone, Debug)]
+pub struct Report {
+    pub seed: u64,
+    pub seconds: u64,
+    pub processes: usize,
+    pub clients: usize,
+    pub connections: u64,
+    pub requests: usize,
+    pub served: usize,
+    /// Answered 401 or 404.
+    pub denied: usize,
+    /// Answered by another status.
+    pub refused: usize,
+    /// Connections that ended under a request.
+    pub closed: usize,
+    pub given_up: usize,
+    pub runs: usize,
+    pub changes: usize,
+    pub acknowledged: usize,
+    pub signals: usize,
+    pub starts_and_kills: usize,
+    /// The most memory and descriptors of any process at the start, in the
+    /// middle and at the end.
+    pub usage: [Usage; 3],
+    pub violations: Vec<String>,
+}
+
+impl Report {
+    pub(super) fn new(
+        options: &SoakOptions,
+        records: &Records,
+        violations: Vec<String>,
+        usage: [Vec<Usage>; 3],
+        clients: usize,
+    ) -> Report {
+        let requests = lock(&records.requests);
+        let changes = lock(&records.changes);
+        let disturbances = lock(&records.disturbances);
+        let answered = |wanted: fn(u16) -> bool| {
+            let matching = requests
+                .iter()
+                .filter(|r| matches!(r.ending, Ending::Answered { status, .. } if wanted(status)));
+            matching.count()
+        };
+        let ended = |ending: Ending| requests.iter().filter(|r| r.ending == ending).count();
+        let acknowledged = changes
+            .iter()
+            .filter(|c| matches!(c.state, ChangeState::Acknowledged { .. }));
+        let of_kind = |kind| disturbances.iter().filter(|d| d.kind == kind).count();
+        Report {
+            seed: options.seed,
+            seconds: options.seconds,
+            processes: options.cores + options.edges,
+            clients,
+            connections: records.connections.load(Ordering::Relaxed),
+            requests: requests.len(),
+            served: answered(|status| status == 200),
+            denied: answered(|status| matches!(status, 401 | 404)),
+            refused: answered(|status| !matches!(status, 200 | 401 | 404)),
+            closed: ended(Ending::Closed),
+            given_up: ended(Ending::GivenUp),
+            runs: lock(&records.runs).len(),
+            changes: changes.len(),
+            acknowledged: acknowledged.count(),
+            signals: of_kind(Disturbance::Planned),
+            starts_and_kills: of_kind(Disturbance::Unplanned),
+            usage: usage.map(most),
+            violations,
+        }
+    }
+}
+
+fn most(all: Vec<Usage>) -> Usage {
+    Usage {
+        resident_kb: all.iter().map(|usage| usage.resident_kb).max().unwrap_or(0),
+        descriptors: all.iter().map(|usage| usage.descriptors).max().unwrap_or(0),
+    }
+}
+
+impl fmt::Display for Report {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let [start, middle, end] = self.usage;
+        write!(
+            f,
+            "seed {} {} s {} processes {} clients: {} connections, {} requests, {} served, {} denied, {} refused, {} closed, {} given up; {} runs; {} changes, {} acknowledged; {} SIGTERM or SIGHUP, {} other signals and starts; most memory {}/{}/{} kB, descriptors {}/{}/{}; {} violations",
+            self.seed,
+            self.seconds,
+            self.processes,
+            self.clients,
+            self.connections,
+            self.requests,
+            self.served,
+            self.denied,
+            self.refused,
+            self.closed,
+            self.given_up,
+            self.runs,
+            self.changes,
+            self.acknowledged,
+            self.signals,
+            self.starts_and_kills,
+            start.resident_kb,
+            middle.resident_kb,
+            end.resident_kb,
+            start.descriptors,
+            middle.descriptors,
+            end.descriptors,
+            self.violations.len()
+        )
+    }
+}
+
+/// What is wrong with the configuration that was read back at the end.
+pub(super) fn read_back_faults(records: &Records, body: Option<&[u8]>) -> Vec<String> {
+    let Some(body) = body else {
+        return vec!["read-back: no core returns the configuration".into()];
+    };
+    let changes = lock(&records.changes);
+    let newest = changes
+        .iter()
+        .filter(|c| matches!(c.state, ChangeState::Acknowledged { .. }))
+        .map(|c| c.plan.version)
+        .max();
+    let version = version_of(body);
+    if version < newest {
+        return vec![format!(
+            "read-back: version {version:?} is older than the acknowledged {newest:?}"
+        )];
+    }
+    let sent = changes.iter().filter(|c| Some(c.plan.version) == version);
+    let mut sent = sent.filter(|c| c.state != ChangeState::Refused);
+    match sent.any(|change| same_content(&change.plan, body)) {
+        true => Vec::new(),
+        false => vec![format!(
+            "read-back: version {version:?} has a content that was not sent under its number"
+        )],
+    }
+}
+
+/// Whether a configuration read back holds what the plan does; the order of
+/// items has no meaning.
+fn same_content(plan: &Plan, body: &[u8]) -> bool {
+    let parsed = |text: &[u8]| json::parse(text, usize::MAX).ok().map(sorted);
+    parsed(body).is_some_and(|value| Some(value) == parsed(plan.body().as_bytes()))
+}
+
+/// The document with its lists of named items in the order of their names.
+fn sorted(mut document: Value) -> String {
+    for list in ["routes", "svcs", "tenants"] {
+        if let Some(items) = document.get_mut(list).and_then(|list| list.as_array_mut()) {
+            items.sort_by_key(json::canonical);
+        }
+    }
+    json::canonical(&document)
+}
--- a/testbed/src/lib.rs
+++ b/testbed/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod faulty_node;
 pub mod fleet;
 mod fleet_faults;
+pub mod hosted_soak;
 pub mod link;
 pub mod presets;
 pub mod rand;
--- a/testbed/src/main.rs
+++ b/testbed/src/main.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 use testbed::capacity::{hollow, HollowArgs};
 use testbed::fleet::{archive, configuration, press, Fleet, SitePreset};
+use testbed::hosted_soak::command::{self as soak_command, SoakArgs};
 
 /// Counts allocations, for runs that measure memory.
 #[global_allocator]
@@ -30,8 +31,10 @@
 enum What {
     #[options(help = "start twelve processes with workers and a platform, until told to stop")]
     Fleet(FleetArgs),
-    #[options(help = "a deployment's mix on a real fleet while nodes fail, for some seconds")]
+    #[options(help = "hosted routes over kept connections, while troubles overlap")]
     Soak(SoakArgs),
+    #[options(help = "a deployment's mix on a gateway's own routes, while nodes fail")]
+    GatewaySoak(GatewaySoakArgs),
     #[options(help = "one node whose clock and disk misbehave as a file says")]
     Node(NodeArgs),
     #[options(help = "a site of hollow nodes in virtual time: what control costs, and slopes")]
@@ -53,7 +56,7 @@
 }
 
 #[derive(Debug, Options)]
-struct SoakArgs {
+struct GatewaySoakArgs {
     #[options(help = "show this help")]
     help: bool,
     #[options(help = "folder for settings, data and logs", meta = "DIR", required)]
@@ -85,7 +88,8 @@
     let a = Args::parse_args_default_or_exit();
     match a.what {
         Some(What::Fleet(f)) => fleet(f),
-        Some(What::Soak(s)) => soak(s),
+        Some(What::Soak(args)) => std::process::exit(soak_command::run_command(&args)),
+        Some(What::GatewaySoak(args)) => gateway_soak(args),
         Some(What::Node(n)) => {
             env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info"))
                 .init();
@@ -126,7 +130,7 @@
     }
 }
 
-fn soak(a: SoakArgs) {
+fn gateway_soak(a: GatewaySoakArgs) {
     let root = a.root.unwrap_or_default();
     let mut f = Fleet::start(&root, preset(&a.site));
     f.serve();
