--- a/sorreldoor/src/invariants.rs
+++ b/sorreldoor/src/invariants.rs
@@ -45,6 +45,10 @@
     KeyWithheld "key-withheld";
     // The requests of a tenant, over all nodes, stay within its quota.
     Quota "quota";
+    // A proxy that is told to stop answers what it has read.
+    GracefulDrain "graceful-drain";
+    // A proxy applies each update of the configuration that it is sent.
+    UpdatesApplied "updates-applied";
     // A home-bound request stays in its home region.
     Home "home";
     // Requests go to another region only where a spill limit allows it.
--- a/sorreldoor/src/proxy/controller.rs
+++ b/sorreldoor/src/proxy/controller.rs
@@ -5,6 +5,7 @@
 use crate::configuration::hosted::Hosted;
 use crate::configuration::Site;
 use crate::discovery::WorkerRegistry;
+use crate::invariants::{broken, Invariant};
 use crate::log_events::LogEvent;
 use crate::metrics::EdgeFigures;
 use crate::net::{Conn, NetEvent};
@@ -322,6 +323,10 @@
 
     fn apply_update(&mut self, encoded: &EncodedUpdate) {
         let applies = |u: &StateUpdate| u.from_revision <= self.view.revision;
+        if self.view.revision > 0 && broken(Invariant::UpdatesApplied) {
+            self.subscription.have.record = encoded.revision;
+            return;
+        }
         let Some(update) = encoded.update().filter(applies) else {
             return self.request_snapshot("an update that does not follow the known revision");
         };
--- a/sorreldoor/src/proxy/drain.rs
+++ b/sorreldoor/src/proxy/drain.rs
@@ -3,6 +3,7 @@
 
 use super::dialect::Dialect;
 use super::shared_state::SharedState;
+use crate::invariants::{broken, Invariant};
 use crate::runtime::Clock;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
@@ -36,6 +37,9 @@
 
     /// Advances the shutdown; true once the process may end.
     pub fn advance<D: Dialect, C: Clock>(&self, shared: &SharedState<D, C>) -> bool {
+        if broken(Invariant::GracefulDrain) {
+            return true;
+        }
         let elapsed = self.started_at.elapsed();
         if elapsed + QUEUE_MARGIN >= self.grace {
             shared.close_queue();
