--- a/testbed/src/soak.rs
+++ b/testbed/src/gateway_soak.rs
@@ -13,77 +13,83 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-/// What one errand's caller saw, by the errand's id.
+/// What one request's caller saw, by the request's id.
 #[derive(Clone, Debug, PartialEq)]
-enum Saw {
+enum CallerOutcome {
     Served,
     Refused,
     Unsure,
 }
 
 #[derive(Debug, Default)]
-pub struct Tally {
-    pub asked: usize,
-    pub tries: usize,
-    /// Tries, not errands, that ended without a word or with an unsure one.
+pub struct SoakSummary {
+    pub requests: usize,
+    pub attempts: usize,
+    /// Attempts, not requests, that ended without an answer or with an uncertain
+    /// one.
     pub lost: usize,
     pub served: usize,
     pub refused: usize,
     pub unsure: usize,
-    pub wrong: Vec<String>,
+    pub violations: Vec<String>,
 }
 
 struct Shared {
     stop: AtomicBool,
     next: AtomicU64,
-    tries: AtomicU64,
+    attempts: AtomicU64,
     lost: AtomicU64,
     edges: Vec<(SocketAddr, String)>,
-    saw: Mutex<BTreeMap<String, Saw>>,
-    wrong: Mutex<Vec<String>>,
+    outcomes: Mutex<BTreeMap<String, CallerOutcome>>,
+    violations: Mutex<Vec<String>>,
 }
 
-const WITHIN: Duration = Duration::from_secs(30);
+const CALL_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// Callers in `threads`, faults from `seed`, for `time`; then what was seen.
-pub fn soak(f: &mut Fleet, seed: u64, threads: usize, time: Duration) -> Tally {
-    under(f, seed, threads, |f| {
-        trouble(f, Rand::new(seed), Instant::now() + time)
+pub fn soak(f: &mut Fleet, seed: u64, threads: usize, time: Duration) -> SoakSummary {
+    run_during(f, seed, threads, |f| {
+        inject_faults(f, Rand::new(seed), Instant::now() + time)
     })
 }
 
-/// Callers in `threads` while `what` is done to the fleet.
-pub fn under(f: &mut Fleet, seed: u64, threads: usize, what: impl FnOnce(&mut Fleet)) -> Tally {
+/// Callers in `threads` while `change` is done to the fleet.
+pub fn run_during(
+    f: &mut Fleet,
+    seed: u64,
+    threads: usize,
+    change: impl FnOnce(&mut Fleet),
+) -> SoakSummary {
     let edges = f
         .edges()
         .iter()
         .map(|i| (f.nodes[*i].http, f.nodes[*i].region.clone()))
         .collect();
-    let sh = Arc::new(Shared {
+    let shared = Arc::new(Shared {
         stop: AtomicBool::new(false),
         next: AtomicU64::new(1),
-        tries: AtomicU64::new(0),
+        attempts: AtomicU64::new(0),
         lost: AtomicU64::new(0),
         edges,
-        saw: Mutex::default(),
-        wrong: Mutex::default(),
+        outcomes: Mutex::default(),
+        violations: Mutex::default(),
     });
     let callers: Vec<_> = (0..threads as u64)
         .map(|t| {
-            let sh = sh.clone();
-            thread::spawn(move || caller(&sh, Rand::new(seed * 1000 + t)))
+            let shared = shared.clone();
+            thread::spawn(move || caller(&shared, Rand::new(seed * 1000 + t)))
         })
         .collect();
-    what(f);
-    sh.stop.store(true, Ordering::SeqCst);
+    change(f);
+    shared.stop.store(true, Ordering::SeqCst);
     for c in callers {
         let _ = c.join();
     }
-    weigh(f, &sh)
+    summarize(f, &shared)
 }
 
 /// One node at a time is killed, frozen or restarted, and comes back.
-fn trouble(f: &mut Fleet, mut r: Rand, end: Instant) {
+fn inject_faults(f: &mut Fleet, mut r: Rand, end: Instant) {
     while Instant::now() < end {
         let i = r.below(f.nodes.len() as u64) as usize;
         match r.below(3) {
@@ -106,20 +112,20 @@
     }
 }
 
-fn caller(sh: &Shared, mut r: Rand) {
-    while !sh.stop.load(Ordering::SeqCst) {
-        let id = format!("soak{}", sh.next.fetch_add(1, Ordering::SeqCst));
+fn caller(shared: &Shared, mut r: Rand) {
+    while !shared.stop.load(Ordering::SeqCst) {
+        let id = format!("soak{}", shared.next.fetch_add(1, Ordering::SeqCst));
         let kind = r.below(10);
-        let n = sh.edges.len() as u64;
-        // a lost or shed errand is asked again under its id, elsewhere
+        let n = shared.edges.len() as u64;
+        // a lost or shed request is asked again under its id, elsewhere
         for i in 0..6 {
-            let (at, region) = &sh.edges[r.below(n) as usize];
-            sh.tries.fetch_add(1, Ordering::SeqCst);
-            let (saw, retry_after_s) = ask(sh, *at, region, &id, kind, &mut r);
-            let again = saw != Saw::Served;
-            let lost = u64::from(saw == Saw::Unsure);
-            sh.lost.fetch_add(lost, Ordering::SeqCst);
-            lock(&sh.saw).insert(id.clone(), saw);
+            let (at, region) = &shared.edges[r.below(n) as usize];
+            shared.attempts.fetch_add(1, Ordering::SeqCst);
+            let (outcome, retry_after_s) = send_request(shared, *at, region, &id, kind, &mut r);
+            let again = outcome != CallerOutcome::Served;
+            let lost = u64::from(outcome == CallerOutcome::Unsure);
+            shared.lost.fetch_add(lost, Ordering::SeqCst);
+            lock(&shared.outcomes).insert(id.clone(), outcome);
             if !again || i == 5 {
                 break;
             }
@@ -131,14 +137,14 @@
     }
 }
 
-fn ask(
-    sh: &Shared,
+fn send_request(
+    shared: &Shared,
     at: SocketAddr,
     region: &str,
     id: &str,
     kind: u64,
     r: &mut Rand,
-) -> (Saw, Option<u64>) {
+) -> (CallerOutcome, Option<u64>) {
     let mut heads = vec![("x-errand-id", id.to_string())];
     let key = format!("p{}", r.below(12));
     let (path, body, events) = match kind {
@@ -171,34 +177,34 @@
         heads,
         body: body.as_bytes().to_vec(),
     };
-    let got = async_std::task::block_on(call(at, c, 1 << 20, WITHIN));
+    let got = async_std::task::block_on(call(at, c, 1 << 20, CALL_TIMEOUT));
     let retry_after_s = got.as_ref().ok().and_then(|c| c.retry_after_s);
-    let saw = match got {
-        Err(Broke::Unsent) => Saw::Refused,
-        Err(_) => Saw::Unsure,
+    let outcome = match got {
+        Err(Broke::Unsent) => CallerOutcome::Refused,
+        Err(_) => CallerOutcome::Unsure,
         Ok(c) if c.status == 200 => {
             let text = String::from_utf8_lossy(&c.body).into_owned();
             let own = c.request.as_deref() == Some(id) && text.contains(id);
             let whole = events == 0 || text.lines().count() == events;
             let ended = events == 0 || text.ends_with("\"done\":true}\n");
             if !(own && whole && ended) {
-                lock(&sh.wrong).push(format!("{id} ({path}) got {text:?}"));
+                lock(&shared.violations).push(format!("{id} ({path}) got {text:?}"));
             }
-            Saw::Served
+            CallerOutcome::Served
         }
-        Ok(c) if c.status == 503 => Saw::Refused,
-        Ok(_) => Saw::Unsure,
+        Ok(c) if c.status == 503 => CallerOutcome::Refused,
+        Ok(_) => CallerOutcome::Unsure,
     };
-    (saw, retry_after_s)
+    (outcome, retry_after_s)
 }
 
-/// Hold what callers saw against what the workers ran.
-fn weigh(f: &Fleet, sh: &Shared) -> Tally {
-    let mut t = Tally {
-        wrong: std::mem::take(&mut *lock(&sh.wrong)),
-        tries: sh.tries.load(Ordering::SeqCst) as usize,
-        lost: sh.lost.load(Ordering::SeqCst) as usize,
-        ..Tally::default()
+/// Compares what callers saw with what the workers ran.
+fn summarize(f: &Fleet, shared: &Shared) -> SoakSummary {
+    let mut summary = SoakSummary {
+        violations: std::mem::take(&mut *lock(&shared.violations)),
+        attempts: shared.attempts.load(Ordering::SeqCst) as usize,
+        lost: shared.lost.load(Ordering::SeqCst) as usize,
+        ..SoakSummary::default()
     };
     let mut executed: BTreeMap<String, u32> = BTreeMap::new();
     for w in f.workers.iter().filter(|w| w.profile.model) {
@@ -207,15 +213,15 @@
         }
     }
     for (id, n) in executed.iter().filter(|(_, n)| **n > 1) {
-        t.wrong.push(format!("{id} ran {n} times"));
+        summary.violations.push(format!("{id} ran {n} times"));
     }
-    for s in lock(&sh.saw).values() {
-        t.asked += 1;
+    for s in lock(&shared.outcomes).values() {
+        summary.requests += 1;
         match s {
-            Saw::Served => t.served += 1,
-            Saw::Refused => t.refused += 1,
-            Saw::Unsure => t.unsure += 1,
+            CallerOutcome::Served => summary.served += 1,
+            CallerOutcome::Refused => summary.refused += 1,
+            CallerOutcome::Unsure => summary.unsure += 1,
         }
     }
-    t
+    summary
 }
--- a/testbed/src/lib.rs
+++ b/testbed/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod faulty_node;
 pub mod fleet;
 mod fleet_faults;
+pub mod gateway_soak;
 pub mod hosted_soak;
 pub mod link;
 pub mod presets;
@@ -14,7 +15,7 @@
 pub mod raw_worker;
 pub mod sim;
 pub mod site;
-pub mod soak;
+
 pub mod stub_platform;
 pub mod stub_worker;
 pub mod sync;
--- a/testbed/src/main.rs
+++ b/testbed/src/main.rs
@@ -134,14 +134,14 @@
     let root = a.root.unwrap_or_default();
     let mut f = Fleet::start(&root, preset(&a.site));
     f.serve();
-    let t = testbed::soak::soak(&mut f, a.seed, 24, Duration::from_secs(a.seconds));
+    let t = testbed::gateway_soak::soak(&mut f, a.seed, 24, Duration::from_secs(a.seconds));
     println!(
         "asked {}, served {}, refused {}, unsure {}",
-        t.asked, t.served, t.refused, t.unsure
+        t.requests, t.served, t.refused, t.unsure
     );
-    t.wrong.iter().for_each(|w| println!("WRONG: {w}"));
+    t.violations.iter().for_each(|w| println!("violation: {w}"));
     drop(f);
-    std::process::exit(i32::from(!t.wrong.is_empty()));
+    std::process::exit(i32::from(!t.violations.is_empty()));
 }
 
 fn fleet(a: FleetArgs) {
--- a/testbed/tests/fleet.rs
+++ b/testbed/tests/fleet.rs
@@ -182,13 +182,13 @@
 fn a_short_soak_of_each_site_breaks_no_rule() {
     for (name, preset) in [("soak-press", press()), ("soak-archive", archive())] {
         let mut f = start(name, preset);
-        let t = testbed::soak::soak(&mut f, 7, 12, Duration::from_secs(12));
+        let t = testbed::gateway_soak::soak(&mut f, 7, 12, Duration::from_secs(12));
         println!(
             "{name}: asked {}, served {}, refused {}, unsure {}",
-            t.asked, t.served, t.refused, t.unsure
+            t.requests, t.served, t.refused, t.unsure
         );
-        assert!(t.wrong.is_empty(), "{:#?}", t.wrong);
-        assert!(t.asked > 100 && t.served * 10 > t.asked * 8);
+        assert!(t.violations.is_empty(), "{:#?}", t.violations);
+        assert!(t.requests > 100 && t.served * 10 > t.requests * 8);
     }
 }
 
--- a/testbed/tests/process_faults.rs
+++ b/testbed/tests/process_faults.rs
@@ -5,7 +5,7 @@
 use std::path::PathBuf;
 use std::time::{Duration, Instant};
 use testbed::fleet::{archive, press, Fleet};
-use testbed::soak::{under, Tally};
+use testbed::gateway_soak::{run_during, SoakSummary};
 
 const LONG: Duration = Duration::from_secs(40);
 
@@ -57,12 +57,12 @@
     v.get("serial").and_then(|s| s.as_u64()).unwrap_or(0)
 }
 
-fn sound(t: &Tally) {
+fn sound(t: &SoakSummary) {
     println!(
         "asked {}, tries {}, served {}, refused {}, unsure {}, lost tries {}",
-        t.asked, t.tries, t.served, t.refused, t.unsure, t.lost
+        t.requests, t.attempts, t.served, t.refused, t.unsure, t.lost
     );
-    assert!(t.wrong.is_empty(), "{:#?}", t.wrong);
+    assert!(t.violations.is_empty(), "{:#?}", t.violations);
 }
 
 /// All twelve restarted, one by one, told to stop as a platform would: every
@@ -72,7 +72,7 @@
     let mut f = Fleet::start(&dir("rolling"), press());
     f.serve();
     let mut top = 1;
-    let t = under(&mut f, 21, 8, |f| {
+    let t = run_during(&mut f, 21, 8, |f| {
         for i in 0..f.nodes.len() {
             assert_eq!(f.stop(i), Some(0), "{} ends cleanly", f.nodes[i].name);
             f.spawn(i);
@@ -89,14 +89,14 @@
         }
     });
     sound(&t);
-    assert_eq!(t.served, t.asked, "every errand is served in the end");
+    assert_eq!(t.served, t.requests, "every errand is served in the end");
     // a connection may stand in the system's queue at the moment a door shuts;
     // without that door it was one try in fifty
     assert!(
-        t.lost * 100 < t.tries,
+        t.lost * 100 < t.attempts,
         "{} of {} tries broke off",
         t.lost,
-        t.tries
+        t.attempts
     );
     for i in 0..f.nodes.len() {
         assert!(
@@ -112,7 +112,7 @@
 fn clocks_disks_and_ways_that_misbehave() {
     let mut f = Fleet::start_customized(&dir("troubles"), archive(), 3, |f| f.faulty_nodes = true);
     f.serve();
-    let t = under(&mut f, 22, 8, |f| {
+    let t = run_during(&mut f, 22, 8, |f| {
         let step = |f: &Fleet, ms: i64| {
             (0..f.nodes.len())
                 .for_each(|i| f.set_node_faults(i, &format!(r#"{{"wall_ms":{ms}}}"#)));
@@ -191,5 +191,5 @@
         assert!(f.until(LONG, Fleet::founded), "it is back with what it had");
     });
     sound(&t);
-    assert!(t.served * 100 >= t.asked * 97, "{t:?}");
+    assert!(t.served * 100 >= t.requests * 97, "{t:?}");
 }
