--- a/testbed/src/hosted_soak/command.rs
+++ b/testbed/src/hosted_soak/command.rs
@@ -10,6 +10,8 @@
 /// The most cores: more than these serve nobody better.
 const MAX_CORES: usize = 7;
 const MAX_CONNECTIONS: usize = 4000;
+/// All reports as JSON, in the folder that `--out` names.
+const SUMMARY_FILE: &str = "summary.json";
 /// Exit status of a soak that broke a rule, and of arguments that make none.
 const EXIT_BROKEN: i32 = 1;
 const EXIT_INVALID: i32 = 2;
@@ -91,12 +93,15 @@
         }
     };
     let mut broken = 0;
+    let mut reports = Vec::new();
     let total = seeds.clone().count();
     for seed in seeds {
         match run(&options(args, seed)) {
             Ok(report) => {
                 print(&report, args);
                 broken += usize::from(!report.violations.is_empty());
+                reports.push(report);
+                write_summary(&reports, args);
             }
             Err(error) => {
                 eprintln!("testbed soak: seed {seed}: {error}");
@@ -111,6 +116,16 @@
     }
 }
 
+/// Writes all reports so far, so that a soak that is ended early leaves them.
+fn write_summary(reports: &[Report], args: &SoakArgs) {
+    let file = args.out.join(SUMMARY_FILE);
+    let text = simd_json::to_string_pretty(reports);
+    let written = text.map(|text| std::fs::write(&file, text));
+    if !matches!(written, Ok(Ok(()))) {
+        eprintln!("testbed soak: {} cannot be written", file.display());
+    }
+}
+
 fn options(args: &SoakArgs, seed: u64) -> SoakOptions {
     SoakOptions {
         root: args.out.join(format!("seed-{seed}")),
--- a/testbed/src/hosted_soak/processes.rs
+++ b/testbed/src/hosted_soak/processes.rs
@@ -3,6 +3,7 @@
 
 use super::records::{Disturbance, Records};
 use crate::sync::lock;
+use serde::Serialize;
 use std::fs;
 use std::io;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
@@ -32,7 +33,7 @@
 }
 
 /// Memory and descriptors of a process.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
 pub struct Usage {
     pub resident_kb: u64,
     pub descriptors: u64,
--- a/testbed/src/hosted_soak/report.rs
+++ b/testbed/src/hosted_soak/report.rs
@@ -6,13 +6,14 @@
 use super::records::{ChangeState, Disturbance, Ending, Records};
 use super::SoakOptions;
 use crate::sync::lock;
+use serde::Serialize;
 use simd_json::prelude::*;
 use sorreldoor::json::{self, Value};
 use std::fmt;
 use std::sync::atomic::Ordering;
 
 /// The result of a soak.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Serialize)]
 pub struct Report {
     pub seed: u64,
     pub seconds: u64,
