Quotas: reports every 150 ms and a faster view of demand

Reports went with the lease's renewal, every 300 ms, and demand was averaged over 0.7 s; now 150 ms and 0.2 s. An edge that reaches no core now falls back to its part, and reports later what it admitted.

--- a/sorreldoor/src/proxy/controller.rs
+++ b/sorreldoor/src/proxy/controller.rs
@@ -115,6 +115,7 @@
             ControllerEvent::Tick => {
                 let effects = self.subscription.tick(self.now);
                 effects.into_iter().for_each(|e| self.on_subscription(e));
+                self.report_usage();
             }
             ControllerEvent::Net(event) => self.on_net(event),
             ControllerEvent::Stop => {
@@ -206,6 +207,17 @@
         }
     }
 
+    /// Reports to the core of this node's session what tenants have requested.
+    fn report_usage(&mut self) {
+        let Some(conn) = self.subscription.conn else {
+            return self.balancer.admission.unreachable(self.now);
+        };
+        let usage = self.balancer.admission.take_report(self.now);
+        if !usage.is_empty() {
+            self.send(conn, Payload::TenantUsage(usage));
+        }
+    }
+
     /// The nodes that share limits: once all had time to start, also those
     /// that are not ready yet.
     fn apply_membership(&mut self) {
@@ -250,10 +262,6 @@
             unverified,
         };
         self.send(conn, renewal);
-        let usage = self.balancer.admission.take_report(self.now);
-        if !usage.is_empty() {
-            self.send(conn, Payload::TenantUsage(usage));
-        }
     }
 
     fn on_net(&mut self, event: NetEvent) {
--- a/sorreldoor/src/quota/admission.rs
+++ b/sorreldoor/src/quota/admission.rs
@@ -7,7 +7,10 @@
 
 /// A report without an answer for so long: no core is known to count for this
 /// edge, and it admits its fixed part of each quota.
-const ANSWER_TIMEOUT_MS: Millis = 1200;
+const ANSWER_TIMEOUT_MS: Millis = 1000;
+/// Milliseconds between two reports: a sudden rise has to be noticed before it
+/// has used up what the quota leaves.
+const REPORT_INTERVAL_MS: Millis = 150;
 /// A tenant that sent nothing for so long is forgotten.
 const FORGET_AFTER_MS: Millis = 60_000;
 /// What a new tenant's accumulator starts with: with 0 all edges would reject
@@ -33,6 +36,7 @@
     shares: HashMap<TenantId, f64>,
     /// When the oldest report that has no answer was sent.
     unanswered_since: Option<Millis>,
+    next_report_at: Millis,
 }
 
 impl Admission {
@@ -74,8 +78,13 @@
             .is_some_and(|since| now > since + ANSWER_TIMEOUT_MS)
     }
 
-    /// What is to be reported to a core now; it counts as reported.
+    /// What is to be reported to a core now, if a report is due; it counts as
+    /// reported.
     pub fn take_report(&mut self, now: Millis) -> Vec<TenantUsage> {
+        if now < self.next_report_at {
+            return Vec::new();
+        }
+        self.next_report_at = now + REPORT_INTERVAL_MS;
         self.tenants
             .retain(|_, state| now <= state.last_request_at + FORGET_AFTER_MS);
         let mut report = Vec::new();
@@ -95,6 +104,14 @@
         report
     }
 
+    /// Takes note that no core can be reached; what is unreported stays so.
+    pub fn unreachable(&mut self, now: Millis) {
+        let mut states = self.tenants.values();
+        if states.any(|state| state.unreported.requested > 0) {
+            self.unanswered_since.get_or_insert(now);
+        }
+    }
+
     /// Takes what a core says, asked or not: the shares of all tenants that are
     /// not admitted completely; `None`: it counts, and knows no shares yet.
     pub fn apply(&mut self, shares: Option<&[AdmissionShare]>) {
--- a/sorreldoor/src/quota/usage_ledger.rs
+++ b/sorreldoor/src/quota/usage_ledger.rs
@@ -6,7 +6,7 @@
 use std::collections::{BTreeMap, HashMap};
 
 /// Time constant of the demand's moving average, in seconds.
-const DEMAND_WINDOW_S: f64 = 0.7;
+const DEMAND_WINDOW_S: f64 = 0.2;
 /// A bucket's tokens are given out over so many seconds.
 const SPEND_OVER_S: f64 = 1.0;
 /// An edge that was heard of within this time may still spend.
