Quotas: a core that is cut off is noticed by its totals, within 0.4 s

Its edges' sessions counted as heard for 1.5 s more on both sides, so both spent the whole quota. Cores now send totals every 100 ms, changed or not, and count the edges of those heard within 0.4 s. Test in virtual time: a_core_that_is_cut_off_from_the_others_spends_its_part_only.

--- a/sorreldoor/src/control_plane/controller/quotas.rs
+++ b/sorreldoor/src/control_plane/controller/quotas.rs
@@ -6,6 +6,7 @@
 use crate::quota::TenantUsage;
 use crate::types::Millis;
 use crate::wire::Payload;
+use std::collections::BTreeSet;
 
 /// Milliseconds between two reports of totals to the other cores.
 const USAGE_REPORT_MS: Millis = 100;
@@ -25,18 +26,27 @@
         }
         self.usage_report_at = self.now + USAGE_REPORT_MS;
         self.follow_quotas();
-        let heard = self.sessions.merged().iter();
-        let names = heard.map(|session| session.hello.node.as_str());
-        self.usage.set_edges(names, self.now);
+        if !self.usage.has_quotas() {
+            return;
+        }
+        self.count_edges();
         let totals = self.usage.take_totals();
-        if !totals.is_empty() {
-            for conn in self.reachable_cores() {
-                self.send(conn, Payload::UsageTotals(totals.clone()));
-            }
+        for conn in self.reachable_cores() {
+            self.send(conn, Payload::UsageTotals(totals.clone()));
         }
         self.announce_shares();
     }
 
+    /// Edges of a core that was cut off a moment ago still have sessions there,
+    /// and what they use is not heard of any more.
+    fn count_edges(&mut self) {
+        let is_heard = |core| self.usage.hears_from(core, self.now);
+        let sessions = self.sessions.sessions_of(is_heard);
+        let names: BTreeSet<String> = sessions.map(|s| s.hello.node.clone()).collect();
+        let names = names.iter().map(String::as_str);
+        self.usage.set_edges(names, self.now);
+    }
+
     /// Tells all edges who is limited: one that has no request of a tenant now
     /// may have its next.
     fn announce_shares(&mut self) {
--- a/sorreldoor/src/quota/usage_ledger.rs
+++ b/sorreldoor/src/quota/usage_ledger.rs
@@ -23,6 +23,9 @@
 /// A ledger that has counted for less than this knows too little to tell edges
 /// anything; they keep to what they were told before.
 const WARM_UP_MS: Millis = 1000;
+/// A core whose totals came within this time is connected. Cores send theirs
+/// more often, changed or not.
+const CORE_TIMEOUT_MS: Millis = 400;
 
 /// The token bucket of one tenant, and how much it asks for.
 #[derive(Clone, Copy, Debug)]
@@ -34,6 +37,13 @@
     updated_at: Millis,
 }
 
+/// What is known of another core's edges.
+#[derive(Clone, Debug, Default)]
+struct Peer {
+    totals: HashMap<TenantId, TenantUsage>,
+    heard_at: Millis,
+}
+
 /// What a core knows of the use of all quotas.
 #[derive(Clone, Debug, Default)]
 pub struct UsageLedger {
@@ -43,8 +53,8 @@
     totals: BTreeMap<TenantId, TenantUsage>,
     /// Tenants whose totals the other cores do not have yet.
     unreported: BTreeMap<TenantId, ()>,
-    /// The newest totals of each other core.
-    peers: BTreeMap<NodeId, HashMap<TenantId, TenantUsage>>,
+    /// Each other core that has sent totals.
+    peers: BTreeMap<NodeId, Peer>,
     /// When each edge was heard of last, by its name.
     edges: BTreeMap<String, Millis>,
     /// The part of all edges that are heard of now.
@@ -73,8 +83,21 @@
         self.totals.retain(|tenant, _| quotas.contains_key(tenant));
     }
 
-    /// Takes note of the edges that are heard of now, by name, here or through
-    /// other cores.
+    /// Whether another core is connected, and tells what its edges use.
+    #[must_use]
+    pub fn hears_from(&self, core: NodeId, now: Millis) -> bool {
+        let peer = self.peers.get(&core);
+        peer.is_some_and(|peer| now <= peer.heard_at + CORE_TIMEOUT_MS)
+    }
+
+    /// Whether there are any quotas to count for.
+    #[must_use]
+    pub fn has_quotas(&self) -> bool {
+        !self.quotas.is_empty()
+    }
+
+    /// Takes note of the edges that are heard of now, each once by its name:
+    /// those of this core and of the cores that [`UsageLedger::hears_from`].
     pub fn set_edges<'n>(&mut self, heard: impl Iterator<Item = &'n str>, now: Millis) {
         let mut count = 0;
         for name in heard {
@@ -109,7 +132,8 @@
         }
     }
 
-    /// The totals that have changed since the last call, for all other cores.
+    /// The totals that have changed since the last call, for all other cores;
+    /// to be sent even if there are none, as a sign of life.
     pub fn take_totals(&mut self) -> Vec<TenantUsage> {
         let changed = std::mem::take(&mut self.unreported);
         let totals = changed.keys().filter_map(|tenant| self.totals.get(tenant));
@@ -120,9 +144,10 @@
     /// nothing of when they were spent, and are only remembered.
     pub fn record_totals(&mut self, core: NodeId, totals: &[TenantUsage], now: Millis) {
         self.counting_since.get_or_insert(now);
+        self.peers.entry(core).or_default().heard_at = now;
         for row in totals {
-            let known = self.peers.entry(core).or_default();
-            let last = known.insert(row.tenant, *row);
+            let peer = self.peers.entry(core).or_default();
+            let last = peer.totals.insert(row.tenant, *row);
             let grown = match last {
                 Some(last) if last.admitted <= row.admitted => TenantUsage {
                     tenant: row.tenant,
--- a/sorreldoor/tests/quota.rs
+++ b/sorreldoor/tests/quota.rs
@@ -140,12 +140,13 @@
             return;
         }
         for from in 0..self.cores.len() {
+            let now = self.now;
+            let is_heard = |core| core == from || self.cores[from].hears_from(core as u64, now);
             let heard: Vec<String> = (0..self.edges.len())
                 .filter(|edge| !self.cut_edges.contains(edge))
-                .filter(|edge| self.cores_connected(from, self.core_of(*edge)))
+                .filter(|edge| is_heard(self.core_of(*edge)))
                 .map(|edge| format!("edge-{edge}"))
                 .collect();
-            let now = self.now;
             self.cores[from].set_edges(heard.iter().map(String::as_str), now);
             if let Some(rows) = self.cores[from].announcement(now) {
                 for edge in (from..self.edges.len()).step_by(self.cores.len()) {
@@ -155,7 +156,7 @@
             }
             let rows = self.cores[from].take_totals();
             for to in (0..self.cores.len()).filter(|to| *to != from) {
-                if !rows.is_empty() && self.cores_connected(from, to) {
+                if self.cores_connected(from, to) {
                     let rows = rows.clone();
                     self.post(Message::Totals { from, to, rows });
                 }
@@ -302,6 +303,21 @@
     });
 }
 
+#[test]
+fn a_core_that_is_cut_off_from_the_others_spends_its_part_only() {
+    each_case(|seed, size, rate| {
+        let mut cluster = Cluster::new(seed, size, quota(rate));
+        cluster.run(8000, rate * 0.8);
+        cluster.run(2000, rate * 4.0);
+        cluster.cores_cut_at = Some(1);
+        cluster.run(6000, rate * 4.0);
+        cluster.cores_cut_at = None;
+        cluster.run(6000, rate * 4.0);
+        let worst = cluster.worst_window(cluster.quota);
+        assert!(worst <= 1.0, "{seed} {size:?} {rate}: {worst}");
+    });
+}
+
 #[test]
 fn cores_that_start_again_one_by_one_or_all_at_once_keep_the_quota() {
     each_case(|seed, size, rate| {
