Quotas: an edge that joins again does not make up for what it rejected

Tests: quotas::a_node_without_an_answer_admits_its_part_of_the_rate fails before (100 of 100 admitted at a share of a tenth).

--- a/sorreldoor/src/quota/admission.rs
+++ b/sorreldoor/src/quota/admission.rs
@@ -68,6 +68,8 @@
             state.credit = (state.credit - 1.0).max(0.0);
             state.local_tokens = (state.local_tokens - 1.0).max(0.0);
         }
+        // what is rejected for another reason is not made up for later
+        state.credit = state.credit.min(1.0);
         admitted
     }
 
--- a/sorreldoor/tests/balancer/quotas.rs
+++ b/sorreldoor/tests/balancer/quotas.rs
@@ -96,7 +96,11 @@
         balancer.counts().over_quota - before,
         1000 - detached as u64
     );
-    balancer.admission.apply(None);
+    // what was rejected meanwhile is not made up for
+    balancer.admission.apply(Some(&[share(tenant().id(), 100)]));
+    let joined = admitted(&mut balancer, 20_000);
+    assert!(joined <= 12, "{joined}");
+    balancer.admission.apply(Some(&[]));
     assert_eq!(admitted(&mut balancer, 20_000), 100);
 }
 
--- a/sorreldoor/tests/quota.rs
+++ b/sorreldoor/tests/quota.rs
@@ -285,6 +285,13 @@
         let worst = cluster.worst_window(cluster.quota);
         assert!(worst <= 1.0, "{seed} {size:?} {rate}: {worst}");
         let detached = cluster.edges[0].is_detached(cluster.now);
+        cluster.cut_edges.clear();
+        cluster.run(6000, rate * 3.0);
+        let worst = cluster.worst_window(cluster.quota);
+        assert!(
+            worst <= 1.0,
+            "{seed} {size:?} {rate}, joined again: {worst}"
+        );
         assert!(detached || rate < 20.0, "a busy edge notices it");
     });
 }
