--- a/sorreldoor/src/quota/usage_ledger.rs
+++ b/sorreldoor/src/quota/usage_ledger.rs
@@ -5,8 +5,10 @@
 use crate::types::{Millis, NodeId};
 use std::collections::{BTreeMap, HashMap};
 
-/// Time constant of the demand's moving average, in seconds.
-const DEMAND_WINDOW_S: f64 = 0.2;
+/// Time constants of the demand's moving averages, in seconds: the first
+/// notices a rise, the second outlasts the moment in which a core that is cut
+/// off hears less, and does not know yet why. The higher one counts.
+const DEMAND_WINDOWS_S: [f64; 2] = [0.2, 0.7];
 /// A bucket's tokens are given out over so many seconds.
 const SPEND_OVER_S: f64 = 1.0;
 /// An edge that was heard of within this time may still spend.
@@ -25,15 +27,18 @@
 const WARM_UP_MS: Millis = 1000;
 /// A core whose totals came within this time is connected. Cores send theirs
 /// more often, changed or not.
-const CORE_TIMEOUT_MS: Millis = 400;
+const CORE_TIMEOUT_MS: Millis = 250;
+/// The part of each quota that is given out: some reports are on their way, and
+/// some are lost with a connection.
+const QUOTA_MARGIN: f64 = 0.97;
 
 /// The token bucket of one tenant, and how much it asks for.
 #[derive(Clone, Copy, Debug)]
 struct Bucket {
     /// Below 0: admitted beyond the quota, and still to be paid off.
     tokens: f64,
-    /// Requests a second.
-    demand: f64,
+    /// Requests a second, over each of the windows.
+    demand: [f64; 2],
     updated_at: Millis,
 }
 
@@ -165,7 +170,9 @@
     fn count(&mut self, usage: &TenantUsage, now: Millis) {
         if let Some(bucket) = self.refilled(usage.tenant, now) {
             bucket.tokens -= usage.admitted as f64;
-            bucket.demand += usage.requested as f64 / DEMAND_WINDOW_S;
+            for (demand, window_s) in bucket.demand.iter_mut().zip(DEMAND_WINDOWS_S) {
+                *demand += usage.requested as f64 / window_s;
+            }
         }
     }
 
@@ -174,12 +181,14 @@
         let quota = self.spendable(tenant)?;
         let bucket = self.buckets.entry(tenant).or_insert(Bucket {
             tokens: quota.burst.min(INITIAL_TOKENS),
-            demand: 0.0,
+            demand: [0.0; 2],
             updated_at: now,
         });
         let elapsed = now.saturating_sub(bucket.updated_at) as f64 / 1000.0;
         bucket.tokens = (bucket.tokens + quota.rate_per_s * elapsed).min(quota.burst);
-        bucket.demand *= (-elapsed / DEMAND_WINDOW_S).exp();
+        for (demand, window_s) in bucket.demand.iter_mut().zip(DEMAND_WINDOWS_S) {
+            *demand *= (-elapsed / window_s).exp();
+        }
         bucket.updated_at = now;
         Some(bucket)
     }
@@ -187,7 +196,7 @@
     /// The part of a quota that the edges heard of may spend.
     fn spendable(&self, tenant: TenantId) -> Option<Quota> {
         let quota = self.quotas.get(&tenant)?;
-        let part = self.heard_part;
+        let part = self.heard_part * QUOTA_MARGIN;
         Some(Quota {
             rate_per_s: quota.rate_per_s * part,
             burst: (quota.burst + CHANCE_TOKENS) * part,
@@ -227,8 +236,9 @@
             };
             let available = (bucket.tokens / SPEND_OVER_S + quota.rate_per_s).max(0.0);
             let limited = bucket.tokens < quota.burst * LIMITED_BELOW;
-            if limited && bucket.demand > available {
-                let per_mille = available / bucket.demand * f64::from(ALL_PER_MILLE);
+            let demand = bucket.demand[0].max(bucket.demand[1]);
+            if limited && demand > available {
+                let per_mille = available / demand * f64::from(ALL_PER_MILLE);
                 shares.push(AdmissionShare {
                     tenant,
                     per_mille: per_mille as u16,
