Quotas: a report that no core has answered is sent again

Edges of a core that was cut off sent their reports into connections that ended, and began with the next core as if they were counted. Reports now have numbers, answers carry them back, and what is unanswered when the connection changes is reported again.

--- a/sorreldoor/src/control_plane/controller/frames.rs
+++ b/sorreldoor/src/control_plane/controller/frames.rs
@@ -112,7 +112,7 @@
                 };
                 self.on_renewal(conn, renewal);
             }
-            Payload::TenantUsage(usage) => self.on_tenant_usage(conn, &usage),
+            Payload::UsageReport(report) => self.on_usage_report(conn, &report),
             Payload::Op {
                 request_id,
                 proposal_id,
--- a/sorreldoor/src/control_plane/controller/quotas.rs
+++ b/sorreldoor/src/control_plane/controller/quotas.rs
@@ -3,7 +3,7 @@
 
 use super::Controller;
 use crate::net::Conn;
-use crate::quota::TenantUsage;
+use crate::quota::{AdmissionUpdate, UsageReport};
 use crate::types::Millis;
 use crate::wire::Payload;
 use std::collections::BTreeSet;
@@ -13,10 +13,13 @@
 
 impl Controller {
     /// Counts what an edge reports, and answers which tenants are limited.
-    pub(super) fn on_tenant_usage(&mut self, conn: Conn, usage: &[TenantUsage]) {
-        self.usage.record(usage, self.now);
-        let shares = self.usage.answer(self.now);
-        self.send(conn, Payload::AdmissionShares(shares));
+    pub(super) fn on_usage_report(&mut self, conn: Conn, report: &UsageReport) {
+        self.usage.record(&report.usage, self.now);
+        let update = AdmissionUpdate {
+            answers: Some(report.number),
+            shares: self.usage.answer(self.now),
+        };
+        self.send(conn, Payload::AdmissionUpdate(update));
     }
 
     /// Follows the configuration and the edges, and reports to other cores.
@@ -54,7 +57,11 @@
             return;
         };
         for conn in self.sessions.local_connections() {
-            self.send(conn, Payload::AdmissionShares(Some(shares.clone())));
+            let update = AdmissionUpdate {
+                answers: None,
+                shares: Some(shares.clone()),
+            };
+            self.send(conn, Payload::AdmissionUpdate(update));
         }
     }
 
--- a/sorreldoor/src/proxy/controller.rs
+++ b/sorreldoor/src/proxy/controller.rs
@@ -95,6 +95,8 @@
     now: Millis,
     /// The readiness that was last reported to cores.
     reported_ready: bool,
+    /// The connection that usage was last reported on.
+    reported_to: Option<Conn>,
     /// All edges and their zones, ready or not, until the balancer is given them.
     pending_nodes: Vec<(String, u16)>,
     /// When the membership counts as complete; set by its first update.
@@ -148,6 +150,7 @@
             draining: false,
             now: 0,
             reported_ready: false,
+            reported_to: None,
             pending_nodes: Vec::new(),
             membership_settled_at: None,
             effects: Vec::new(),
@@ -209,12 +212,16 @@
 
     /// Reports to the core of this node's session what tenants have requested.
     fn report_usage(&mut self) {
-        let Some(conn) = self.subscription.conn else {
-            return self.balancer.admission.unreachable(self.now);
+        let admission = &mut self.balancer.admission;
+        if self.subscription.conn != self.reported_to {
+            self.reported_to = self.subscription.conn;
+            admission.disconnected();
+        }
+        let Some(conn) = self.reported_to else {
+            return admission.unreachable(self.now);
         };
-        let usage = self.balancer.admission.take_report(self.now);
-        if !usage.is_empty() {
-            self.send(conn, Payload::TenantUsage(usage));
+        if let Some(report) = admission.take_report(self.now) {
+            self.send(conn, Payload::UsageReport(report));
         }
     }
 
@@ -271,9 +278,7 @@
             NetEvent::Frame { payload, .. } => match *payload {
                 Payload::Grant { no, ok, delta } => self.on_grant(no, ok, delta),
                 Payload::WorkerRegistry(registry) => self.apply_registry(&registry),
-                Payload::AdmissionShares(shares) => {
-                    self.balancer.admission.apply(shares.as_deref());
-                }
+                Payload::AdmissionUpdate(update) => self.balancer.admission.apply(&update),
                 _ => {}
             },
         }
--- a/sorreldoor/src/quota/admission.rs
+++ b/sorreldoor/src/quota/admission.rs
@@ -1,7 +1,8 @@
 //! The edge's part: which requests of a tenant are admitted here, and what is
 //! reported to a core.
 
-use super::{AdmissionShare, Quota, TenantId, TenantUsage, ALL_PER_MILLE};
+use super::ALL_PER_MILLE;
+use super::{AdmissionShare, AdmissionUpdate, Quota, TenantId, TenantUsage, UsageReport};
 use crate::types::Millis;
 use std::collections::HashMap;
 
@@ -34,9 +35,12 @@
     tenants: HashMap<TenantId, TenantState>,
     /// Shares of the tenants that are not admitted completely.
     shares: HashMap<TenantId, f64>,
-    /// When the oldest report that has no answer was sent.
+    /// Reports without an answer, in the order they were sent.
+    unanswered: Vec<UsageReport>,
+    /// When the oldest of them was sent, or first could not be.
     unanswered_since: Option<Millis>,
     next_report_at: Millis,
+    last_number: u64,
 }
 
 impl Admission {
@@ -80,30 +84,49 @@
             .is_some_and(|since| now > since + ANSWER_TIMEOUT_MS)
     }
 
-    /// What is to be reported to a core now, if a report is due; it counts as
-    /// reported.
-    pub fn take_report(&mut self, now: Millis) -> Vec<TenantUsage> {
+    /// What is to be reported to a core now, if a report is due.
+    pub fn take_report(&mut self, now: Millis) -> Option<UsageReport> {
         if now < self.next_report_at {
-            return Vec::new();
+            return None;
         }
         self.next_report_at = now + REPORT_INTERVAL_MS;
         self.tenants
             .retain(|_, state| now <= state.last_request_at + FORGET_AFTER_MS);
-        let mut report = Vec::new();
+        let mut usage = Vec::new();
         for (tenant, state) in &mut self.tenants {
             let cleared = TenantUsage {
                 tenant: *tenant,
                 ..TenantUsage::default()
             };
-            let usage = std::mem::replace(&mut state.unreported, cleared);
-            if usage.requested > 0 {
-                report.push(usage);
+            let row = std::mem::replace(&mut state.unreported, cleared);
+            if row.requested > 0 {
+                usage.push(row);
             }
         }
-        if !report.is_empty() {
-            self.unanswered_since.get_or_insert(now);
+        if usage.is_empty() {
+            return None;
+        }
+        self.last_number += 1;
+        let report = UsageReport {
+            number: self.last_number,
+            usage,
+        };
+        self.unanswered.push(report.clone());
+        self.unanswered_since.get_or_insert(now);
+        Some(report)
+    }
+
+    /// The connection to the core has ended: what it did not answer is to be
+    /// reported again.
+    pub fn disconnected(&mut self) {
+        for report in std::mem::take(&mut self.unanswered) {
+            for row in report.usage {
+                if let Some(state) = self.tenants.get_mut(&row.tenant) {
+                    state.unreported.requested += row.requested;
+                    state.unreported.admitted += row.admitted;
+                }
+            }
         }
-        report
     }
 
     /// Takes note that no core can be reached; what is unreported stays so.
@@ -114,11 +137,15 @@
         }
     }
 
-    /// Takes what a core says, asked or not: the shares of all tenants that are
-    /// not admitted completely; `None`: it counts, and knows no shares yet.
-    pub fn apply(&mut self, shares: Option<&[AdmissionShare]>) {
+    /// Takes what a core tells.
+    pub fn apply(&mut self, update: &AdmissionUpdate) {
         self.unanswered_since = None;
-        let Some(shares) = shares else { return };
+        if let Some(number) = update.answers {
+            self.unanswered.retain(|report| report.number > number);
+        }
+        let Some(shares) = &update.shares else {
+            return;
+        };
         let fraction =
             |share: &AdmissionShare| f64::from(share.per_mille) / f64::from(ALL_PER_MILLE);
         self.shares = shares
--- a/sorreldoor/src/quota/mod.rs
+++ b/sorreldoor/src/quota/mod.rs
@@ -38,6 +38,31 @@
     pub admitted: u64,
 }
 
+/// What an edge reports to a core. One that is not answered before its
+/// connection ends is reported again, to another core: what two cores counted
+/// is paid off twice, what none counted could be spent again.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UsageReport {
+    /// Rises with each report of an edge; the answer carries it back.
+    #[serde(rename = "n")]
+    pub number: u64,
+    /// What tenants have requested since the report before.
+    #[serde(rename = "u")]
+    pub usage: Vec<TenantUsage>,
+}
+
+/// What a core tells an edge, in answer to a report or unasked.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AdmissionUpdate {
+    /// The report that it answers; it and all before it are counted.
+    #[serde(rename = "n")]
+    pub answers: Option<u64>,
+    /// The share of each tenant that is not admitted completely. `None`: the
+    /// core has started to count, and does not know them yet.
+    #[serde(rename = "s")]
+    pub shares: Option<Vec<AdmissionShare>>,
+}
+
 /// The share of a tenant's requests that edges admit.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AdmissionShare {
--- a/sorreldoor/src/wire/payload.rs
+++ b/sorreldoor/src/wire/payload.rs
@@ -4,7 +4,7 @@
 use super::{SentRequest, SessionReport, StateDelta, Unverified, VoteId};
 use crate::consensus::{ClaimRecord, Msg};
 use crate::discovery::{Loads, WorkerRegistry};
-use crate::quota::{AdmissionShare, TenantUsage};
+use crate::quota::{AdmissionUpdate, TenantUsage, UsageReport};
 use crate::replicated_state::{Command, Outcome};
 use crate::types::ProposalId;
 use serde::{Deserialize, Serialize};
@@ -172,12 +172,10 @@
     },
     /// Answer to `ClaimsPageRequest`.
     ClaimsPage(ClaimsPage),
-    /// What tenants have requested at an edge since its last report.
-    TenantUsage(Vec<TenantUsage>),
-    /// Answer to `TenantUsage`, also sent unasked: the share of each tenant that
-    /// is not admitted completely. `None`: the core has started to count, and
-    /// does not know them yet.
-    AdmissionShares(Option<Vec<AdmissionShare>>),
+    /// What tenants have requested at an edge.
+    UsageReport(UsageReport),
+    /// Answer to `UsageReport`, also sent unasked.
+    AdmissionUpdate(AdmissionUpdate),
     /// Between cores: what the sender's edges have reported since it started,
     /// for the tenants of which that has changed.
     UsageTotals(Vec<TenantUsage>),
--- a/sorreldoor/tests/balancer/quotas.rs
+++ b/sorreldoor/tests/balancer/quotas.rs
@@ -2,7 +2,7 @@
 
 use super::*;
 use sorreldoor::configuration::tenants::{ApiKey, Tenant, Tenants};
-use sorreldoor::quota::AdmissionShare;
+use sorreldoor::quota::{AdmissionShare, AdmissionUpdate};
 
 fn tenant() -> Tenant {
     Tenant {
@@ -45,18 +45,26 @@
     AdmissionShare { tenant, per_mille }
 }
 
+/// What a core tells unasked.
+fn told(shares: &[AdmissionShare]) -> AdmissionUpdate {
+    AdmissionUpdate {
+        answers: None,
+        shares: Some(shares.to_vec()),
+    }
+}
+
 #[test]
 fn a_share_told_by_a_core_is_admitted_and_the_rest_answered_429() {
     let id = tenant().id();
     let mut balancer = balancer_of(tenant());
     assert_eq!(admitted(&mut balancer, 10), 100);
-    balancer.admission.apply(Some(&[share(id, 250)]));
+    balancer.admission.apply(&told(&[share(id, 250)]));
     let some = admitted(&mut balancer, 20);
     assert!((24..=26).contains(&some), "{some}");
     assert_eq!(balancer.counts().over_quota, 100 - some as u64);
-    balancer.admission.apply(Some(&[share(id, 0)]));
+    balancer.admission.apply(&told(&[share(id, 0)]));
     assert!(admitted(&mut balancer, 30) <= 1);
-    balancer.admission.apply(Some(&[]));
+    balancer.admission.apply(&told(&[]));
     assert_eq!(admitted(&mut balancer, 40), 100);
     assert_eq!(ErrorCode::QuotaExceeded.status(), 429);
 }
@@ -65,13 +73,26 @@
 fn all_requests_are_reported_once() {
     let id = tenant().id();
     let mut balancer = balancer_of(tenant());
-    balancer.admission.apply(Some(&[share(id, 500)]));
+    balancer.admission.apply(&told(&[share(id, 500)]));
     let some = admitted(&mut balancer, 10) as u64;
-    let report = balancer.admission.take_report(20);
-    assert_eq!(report.len(), 1);
-    assert_eq!((report[0].tenant, report[0].requested), (id, 100));
-    assert_eq!(report[0].admitted, some);
-    assert!(balancer.admission.take_report(500).is_empty());
+    let report = balancer.admission.take_report(20).expect("a report");
+    let row = report.usage[0];
+    assert_eq!(
+        (report.usage.len(), row.tenant, row.requested),
+        (1, id, 100)
+    );
+    assert_eq!(row.admitted, some);
+    assert_eq!(balancer.admission.take_report(500), None);
+    // a core that answered has counted it; one that did not may not have
+    balancer.admission.disconnected();
+    let again = balancer.admission.take_report(1000).expect("once more");
+    assert_eq!(again.usage, report.usage);
+    balancer.admission.apply(&AdmissionUpdate {
+        answers: Some(again.number),
+        shares: None,
+    });
+    balancer.admission.disconnected();
+    assert_eq!(balancer.admission.take_report(1500), None);
 }
 
 #[test]
@@ -97,10 +118,12 @@
         1000 - detached as u64
     );
     // what was rejected meanwhile is not made up for
-    balancer.admission.apply(Some(&[share(tenant().id(), 100)]));
+    balancer
+        .admission
+        .apply(&told(&[share(tenant().id(), 100)]));
     let joined = admitted(&mut balancer, 20_000);
     assert!(joined <= 12, "{joined}");
-    balancer.admission.apply(Some(&[]));
+    balancer.admission.apply(&told(&[]));
     assert_eq!(admitted(&mut balancer, 20_000), 100);
 }
 
@@ -111,8 +134,8 @@
     balancer.admission.unreachable(20);
     let detached = admitted(&mut balancer, 3000) as u64;
     assert!(detached <= 10, "{detached}");
-    let report = balancer.admission.take_report(3010);
-    assert_eq!(report[0].admitted, 100 + detached);
+    let report = balancer.admission.take_report(3010).expect("a report");
+    assert_eq!(report.usage[0].admitted, 100 + detached);
 }
 
 #[test]
@@ -122,7 +145,7 @@
         ..tenant()
     });
     let id = tenant().id();
-    balancer.admission.apply(Some(&[share(id, 0)]));
+    balancer.admission.apply(&told(&[share(id, 0)]));
     assert_eq!(admitted(&mut balancer, 10), 100);
-    assert!(balancer.admission.take_report(20).is_empty());
+    assert_eq!(balancer.admission.take_report(20), None);
 }
--- a/sorreldoor/tests/formats/samples.rs
+++ b/sorreldoor/tests/formats/samples.rs
@@ -4,7 +4,7 @@
 use sorreldoor::configuration::Site;
 use sorreldoor::consensus::{ClaimRecord, HardState, LogPosition, Save, Snapshot, StateMachine};
 use sorreldoor::discovery::{Load, Loads, Worker, WorkerRegistry};
-use sorreldoor::quota::{AdmissionShare, TenantUsage};
+use sorreldoor::quota::{AdmissionShare, AdmissionUpdate, TenantUsage, UsageReport};
 use sorreldoor::replicated_state::{encode, Command, Outcome, Recovery, ReplicatedState};
 use sorreldoor::store::DurableState;
 use sorreldoor::wire::{
@@ -298,13 +298,19 @@
             last: true,
         }),
         Payload::Ping { no: 1 },
-        Payload::TenantUsage(vec![usage]),
+        Payload::UsageReport(UsageReport {
+            number: 3,
+            usage: vec![usage],
+        }),
         Payload::UsageTotals(vec![usage]),
-        Payload::AdmissionShares(Some(vec![AdmissionShare {
-            tenant: 1 << 60,
-            per_mille: 250,
-        }])),
-        Payload::AdmissionShares(None),
+        Payload::AdmissionUpdate(AdmissionUpdate {
+            answers: Some(3),
+            shares: Some(vec![AdmissionShare {
+                tenant: 1 << 60,
+                per_mille: 250,
+            }]),
+        }),
+        Payload::AdmissionUpdate(AdmissionUpdate::default()),
     ];
     let votes = [
         ClaimVote::Granted,
--- a/sorreldoor/tests/quota.rs
+++ b/sorreldoor/tests/quota.rs
@@ -1,7 +1,7 @@
 //! Quotas in virtual time: edges and cores exchange reports over delayed links,
 //! while tenants send more than they may, links are cut and cores start again.
 
-use sorreldoor::quota::{Admission, AdmissionShare, Quota, TenantUsage, UsageLedger};
+use sorreldoor::quota::{Admission, AdmissionUpdate, Quota, TenantUsage, UsageLedger, UsageReport};
 use std::collections::BTreeMap;
 
 const TENANT: u64 = 7;
@@ -26,14 +26,14 @@
 }
 
 enum Message {
-    Usage {
+    Report {
         edge: usize,
         core: usize,
-        rows: Vec<TenantUsage>,
+        report: UsageReport,
     },
-    Shares {
+    Update {
         edge: usize,
-        rows: Option<Vec<AdmissionShare>>,
+        update: AdmissionUpdate,
     },
     Totals {
         from: usize,
@@ -130,10 +130,11 @@
 
     fn report(&mut self) {
         for edge in 0..self.edges.len() {
-            let rows = self.edges[edge].take_report(self.now);
+            let report = self.edges[edge].take_report(self.now);
             let core = self.core_of(edge);
-            if !rows.is_empty() && !self.cut_edges.contains(&edge) {
-                self.post(Message::Usage { edge, core, rows });
+            let connected = !self.cut_edges.contains(&edge);
+            if let Some(report) = report.filter(|_| connected) {
+                self.post(Message::Report { edge, core, report });
             }
         }
         if !self.now.is_multiple_of(TOTALS_MS) {
@@ -150,8 +151,11 @@
             self.cores[from].set_edges(heard.iter().map(String::as_str), now);
             if let Some(rows) = self.cores[from].announcement(now) {
                 for edge in (from..self.edges.len()).step_by(self.cores.len()) {
-                    let rows = Some(rows.clone());
-                    self.post(Message::Shares { edge, rows });
+                    let update = AdmissionUpdate {
+                        answers: None,
+                        shares: Some(rows.clone()),
+                    };
+                    self.post(Message::Update { edge, update });
                 }
             }
             let rows = self.cores[from].take_totals();
@@ -169,14 +173,17 @@
         for message in std::mem::replace(&mut self.wire, later).into_values() {
             let now = self.now;
             match message {
-                Message::Usage { edge, core, rows } => {
-                    self.cores[core].record(&rows, now);
-                    let rows = self.cores[core].answer(now);
-                    self.post(Message::Shares { edge, rows });
+                Message::Report { edge, core, report } => {
+                    self.cores[core].record(&report.usage, now);
+                    let update = AdmissionUpdate {
+                        answers: Some(report.number),
+                        shares: self.cores[core].answer(now),
+                    };
+                    self.post(Message::Update { edge, update });
                 }
-                Message::Shares { edge, rows } => {
+                Message::Update { edge, update } => {
                     if !self.cut_edges.contains(&edge) {
-                        self.edges[edge].apply(rows.as_deref());
+                        self.edges[edge].apply(&update);
                     }
                 }
                 Message::Totals { from, to, rows } => {
@@ -286,6 +293,7 @@
         assert!(worst <= 1.0, "{seed} {size:?} {rate}: {worst}");
         let detached = cluster.edges[0].is_detached(cluster.now);
         cluster.cut_edges.clear();
+        cluster.edges.iter_mut().for_each(Admission::disconnected);
         cluster.run(6000, rate * 3.0);
         let worst = cluster.worst_window(cluster.quota);
         assert!(
--- a/testbed/tests/tenants.rs
+++ b/testbed/tests/tenants.rs
@@ -6,7 +6,7 @@
 use sorreldoor::configuration::{self, Site};
 use sorreldoor::invariants::{break_only, Invariant};
 use sorreldoor::proxy::{Dialect, PlainDialect, RequestMetadata};
-use sorreldoor::quota::AdmissionShare;
+use sorreldoor::quota::{AdmissionShare, AdmissionUpdate};
 
 const DOCUMENT: &str = r#"{"hosted":{
  "routes":[{"name":"get","host":"h","prefix":"/get/","timeout_ms":3000,"service":"web"}],
@@ -52,6 +52,14 @@
     PlainDialect.read_request_header("Authorization", b"Bearer k1", &mut metadata)
 }
 
+/// What a core tells unasked.
+fn told(shares: &[AdmissionShare]) -> AdmissionUpdate {
+    AdmissionUpdate {
+        answers: None,
+        shares: Some(shares.to_vec()),
+    }
+}
+
 fn quotas_are_kept() -> bool {
     let mut balancer = balancer();
     let hosted = balancer.hosted().expect("a configuration").clone();
@@ -60,7 +68,7 @@
         tenant,
         per_mille: 0,
     };
-    balancer.admission.apply(Some(&[nothing]));
+    balancer.admission.apply(&told(&[nothing]));
     begun(&mut balancer, "k1") == 0
 }
 
