Quotas: reports leave a core that does not answer, though its connection stands

Only the answer to a report counts now; after 350 ms the report goes to a core that speaks to the edge, and that one is kept while it answers.

--- a/sorreldoor/src/proxy/controller.rs
+++ b/sorreldoor/src/proxy/controller.rs
@@ -1,6 +1,7 @@
 //! The controller of a node that serves hosted routes: its subscription to a
 //! core, the updates it applies, and the balancer that they configure.
 
+use super::usage_reporter::UsageReporter;
 use crate::balancer::Balancer;
 use crate::configuration::hosted::Hosted;
 use crate::configuration::Site;
@@ -95,8 +96,7 @@
     now: Millis,
     /// The readiness that was last reported to cores.
     reported_ready: bool,
-    /// The connection that usage was last reported on.
-    reported_to: Option<Conn>,
+    usage_reporter: UsageReporter,
     /// All edges and their zones, ready or not, until the balancer is given them.
     pending_nodes: Vec<(String, u16)>,
     /// When the membership counts as complete; set by its first update.
@@ -150,7 +150,7 @@
             draining: false,
             now: 0,
             reported_ready: false,
-            reported_to: None,
+            usage_reporter: UsageReporter::default(),
             pending_nodes: Vec::new(),
             membership_settled_at: None,
             effects: Vec::new(),
@@ -210,17 +210,11 @@
         }
     }
 
-    /// Reports to the core of this node's session what tenants have requested.
+    /// Reports to a core what tenants have requested.
     fn report_usage(&mut self) {
         let admission = &mut self.balancer.admission;
-        if self.subscription.conn != self.reported_to {
-            self.reported_to = self.subscription.conn;
-            admission.disconnected();
-        }
-        let Some(conn) = self.reported_to else {
-            return admission.unreachable(self.now);
-        };
-        if let Some(report) = admission.take_report(self.now) {
+        let session = self.subscription.conn;
+        if let Some((conn, report)) = self.usage_reporter.report(session, admission, self.now) {
             self.send(conn, Payload::UsageReport(report));
         }
     }
@@ -274,11 +268,17 @@
     fn on_net(&mut self, event: NetEvent) {
         match event {
             NetEvent::Up { conn, dialled } => self.on_connected(conn, dialled),
-            NetEvent::Down { conn } => self.subscription.down(conn),
-            NetEvent::Frame { payload, .. } => match *payload {
+            NetEvent::Down { conn } => {
+                self.usage_reporter.on_closed(conn);
+                self.subscription.down(conn);
+            }
+            NetEvent::Frame { conn, payload } => match *payload {
                 Payload::Grant { no, ok, delta } => self.on_grant(no, ok, delta),
                 Payload::WorkerRegistry(registry) => self.apply_registry(&registry),
-                Payload::AdmissionUpdate(update) => self.balancer.admission.apply(&update),
+                Payload::AdmissionUpdate(update) => {
+                    let admission = &mut self.balancer.admission;
+                    self.usage_reporter.on_update(conn, &update, admission);
+                }
                 _ => {}
             },
         }
--- a/sorreldoor/src/proxy/mod.rs
+++ b/sorreldoor/src/proxy/mod.rs
@@ -22,6 +22,7 @@
 mod shared_state;
 mod status_endpoint;
 mod upstream;
+mod usage_reporter;
 
 pub use controller::{ControllerEffect, ControllerEvent, ProxyController, ReadyEdge};
 pub use daemon::{run, ProxyOptions};
@@ -34,3 +35,4 @@
     StatusResponse,
 };
 pub use upstream::response_class;
+pub use usage_reporter::UsageReporter;
--- a/sorreldoor/src/quota/admission.rs
+++ b/sorreldoor/src/quota/admission.rs
@@ -9,6 +9,9 @@
 /// A report without an answer for so long: no core is known to count for this
 /// edge, and it admits its fixed part of each quota.
 const ANSWER_TIMEOUT_MS: Millis = 1000;
+/// A report without an answer for so long is sent to another core, if one is
+/// known to be there.
+const STALL_TIMEOUT_MS: Millis = 350;
 /// Milliseconds between two reports: a sudden rise has to be noticed before it
 /// has used up what the quota leaves.
 const REPORT_INTERVAL_MS: Millis = 150;
@@ -137,11 +140,20 @@
         }
     }
 
-    /// Takes what a core tells.
+    /// Whether a report has waited for its answer for so long that another
+    /// core should be tried.
+    #[must_use]
+    pub fn is_stalled(&self, now: Millis) -> bool {
+        self.unanswered_since
+            .is_some_and(|since| now > since + STALL_TIMEOUT_MS)
+    }
+
+    /// Takes what a core tells. Only the answer to a report shows that a core
+    /// counts for this edge.
     pub fn apply(&mut self, update: &AdmissionUpdate) {
-        self.unanswered_since = None;
         if let Some(number) = update.answers {
             self.unanswered.retain(|report| report.number > number);
+            self.unanswered_since = None;
         }
         let Some(shares) = &update.shares else {
             return;
--- a/sorreldoor/tests/balancer/quotas.rs
+++ b/sorreldoor/tests/balancer/quotas.rs
@@ -118,6 +118,14 @@
         1000 - detached as u64
     );
     // what was rejected meanwhile is not made up for
+    assert_eq!(
+        balancer.admission.take_report(20_000).map(|r| r.number),
+        Some(2)
+    );
+    balancer.admission.apply(&AdmissionUpdate {
+        answers: Some(2),
+        shares: None,
+    });
     balancer
         .admission
         .apply(&told(&[share(tenant().id(), 100)]));
