--- /dev/null
+++ b/review/standins/platform.rs
@@ -0,0 +1,50 @@
+//! The platform's list of workers, and workers.
+
+use crate::fleet::{Fleet, MACHINES};
+use crate::http::{serve, Message};
+use crate::record::Record;
+use std::net::{SocketAddr, TcpListener};
+
+/// The service of all workers.
+pub const SERVICE: &str = "xano55b";
+
+fn listen() -> Result<(TcpListener, SocketAddr), String> {
+    let listener = TcpListener::bind("127.0.0.1:0").map_err(|e| e.to_string())?;
+    let addr = listener.local_addr().map_err(|e| e.to_string())?;
+    Ok((listener, addr))
+}
+
+fn response(status: &str, headers: &str, body: &str) -> String {
+    let length = body.len();
+    format!("HTTP/1.1 {status}\r\n{headers}Content-Length: {length}\r\n\r\n{body}")
+}
+
+/// The answer of a worker that runs each request at once.
+fn run_request(id: &str, request: &Message, record: &Record) -> String {
+    let attempt = request.header("sorreldoor-attempt-id").unwrap_or("");
+    let wanted = request.header("sorreldoor-want-worker");
+    if wanted.is_some_and(|w| w != id) {
+        let headers = format!("Sorreldoor-Attempt-Id: {attempt}\r\nSorreldoor-Not-Run: 1\r\n");
+        return response("421 Misdirected Request", &headers, "");
+    }
+    record.write(&format!("worker {id} runs {attempt}: {}", request.start));
+    let headers = format!("Sorreldoor-Attempt-Id: {attempt}\r\nSorreldoor-Worker-Seal: {id}.{attempt}\r\n");
+    response("200 OK", &headers, "page")
+}
+
+/// Starts one worker for each zone, and the list that names them; returns its address.
+pub fn start(record: &Record) -> Result<SocketAddr, String> {
+    let mut entries = Vec::new();
+    for machine in 0..MACHINES {
+        let (listener, addr) = listen()?;
+        let (id, record, zone) = (format!("i-{machine}"), record.clone(), Fleet::zone(machine));
+        entries.push(format!(
+            "{{\"svc\":\"{SERVICE}\",\"addr\":\"{addr}\",\"az\":\"{zone}\",\"ver\":\"v1\",\"slots\":6,\"st\":\"ready\",\"warmupMs\":0,\"id\":\"{id}\"}}"
+        ));
+        serve(listener, move |request| run_request(&id, request, &record));
+    }
+    let list = format!("{{\"pool\":[{}],\"next\":null}}", entries.join(","));
+    let (listener, addr) = listen()?;
+    serve(listener, move |_| response("200 OK", "Content-Type: application/json\r\n", &list));
+    Ok(addr)
+}
