Review case 3: an answer with LF line ends is forwarded with a wrong body

Cause: encode_head searches the raw head for a CR to find the end of the status line, but the parser also accepts lines that end with LF alone. Ruled out: with CRLF the same answers are forwarded whole.

--- a/review/standins/drain.rs
+++ b/review/standins/drain.rs
@@ -8,6 +8,7 @@
 use crate::record::Record;
 use crate::Verdict;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::thread::{self, sleep, JoinHandle};
 use std::time::{Duration, Instant};
 
@@ -79,7 +80,7 @@
 }
 
 pub fn run(record: &Record, trouble: bool) -> Result<Verdict, String> {
-    let provider = platform::start(record)?;
+    let provider = platform::start(record, &Arc::default())?;
     let mut fleet = Fleet::new(provider, record)?;
     fleet.start_all()?;
     if !operator::put_first(&fleet, record, "nonidem", TIMEOUT_MS, PATIENCE) {
--- a/review/standins/founding.rs
+++ b/review/standins/founding.rs
@@ -7,6 +7,7 @@
 use crate::platform;
 use crate::record::Record;
 use crate::Verdict;
+use std::sync::Arc;
 use std::thread::sleep;
 use std::time::Duration;
 
@@ -62,7 +63,7 @@
 }
 
 pub fn run(record: &Record, trouble: bool) -> Result<Verdict, String> {
-    let provider = platform::start(record)?;
+    let provider = platform::start(record, &Arc::default())?;
     let mut fleet = Fleet::new(provider, record)?;
     start_all(&mut fleet, trouble)?;
     let settled_at = record.elapsed();
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -9,6 +9,7 @@
 mod operator;
 mod platform;
 mod record;
+mod spoiled;
 
 use std::process::exit;
 
@@ -37,6 +38,7 @@
     let result = match case.as_str() {
         "drain" => drain::run(&record, trouble),
         "founding" => founding::run(&record, trouble),
+        "spoiled" => spoiled::run(&record, trouble),
         other => Err(format!("there is no case {other:?}")),
     };
     let code = match result {
--- a/review/standins/platform.rs
+++ b/review/standins/platform.rs
@@ -4,9 +4,14 @@
 use crate::http::{serve, Message};
 use crate::record::Record;
 use std::net::{SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
 use std::thread::sleep;
 use std::time::Duration;
 
+/// The body of each answer of a worker.
+pub const PAGE: &str = "page";
+
 /// The service of all workers.
 pub const SERVICE: &str = "xano55b";
 
@@ -28,8 +33,9 @@
     Duration::from_millis(number.unwrap_or(0))
 }
 
-/// The answer of a worker that runs each request.
-fn run_request(id: &str, request: &Message, record: &Record) -> String {
+/// The answer of a worker that runs each request. A worker in trouble ends the lines of its
+/// heads with LF alone, which is no answer in HTTP/1.1 (RFC 9112, section 2.2).
+fn run_request(id: &str, request: &Message, record: &Record, in_trouble: bool) -> String {
     let attempt = request.header("sorreldoor-attempt-id").unwrap_or("");
     let wanted = request.header("sorreldoor-want-worker");
     if wanted.is_some_and(|w| w != id) {
@@ -40,11 +46,15 @@
     sleep(work(request));
     record.write(&format!("worker {id} has run {attempt} and answers it"));
     let headers = format!("Sorreldoor-Attempt-Id: {attempt}\r\nSorreldoor-Worker-Seal: {id}.{attempt}\r\n");
-    response("200 OK", &headers, "page")
+    let answer = response("200 OK", &headers, PAGE);
+    let answer = if in_trouble { answer.replace("\r\n", "\n") } else { answer };
+    record.write(&format!("worker {id} sends {answer:?}"));
+    answer
 }
 
-/// Starts one worker for each zone, and the list that names them; returns its address.
-pub fn start(record: &Record) -> Result<SocketAddr, String> {
+/// Starts one worker for each zone, and the list that names them; returns its address. The
+/// workers are in trouble while `trouble` is set.
+pub fn start(record: &Record, trouble: &Arc<AtomicBool>) -> Result<SocketAddr, String> {
     let mut entries = Vec::new();
     for machine in 0..MACHINES {
         let (listener, addr) = listen()?;
@@ -52,7 +62,10 @@
         entries.push(format!(
             "{{\"svc\":\"{SERVICE}\",\"addr\":\"{addr}\",\"az\":\"{zone}\",\"ver\":\"v1\",\"slots\":6,\"st\":\"ready\",\"warmupMs\":0,\"id\":\"{id}\"}}"
         ));
-        serve(listener, move |request| run_request(&id, request, &record));
+        let trouble = trouble.clone();
+        serve(listener, move |request| {
+            run_request(&id, request, &record, trouble.load(Ordering::SeqCst))
+        });
     }
     let list = format!("{{\"pool\":[{}],\"next\":null}}", entries.join(","));
     let (listener, addr) = listen()?;
