--- a/review/standins/platform.rs
+++ b/review/standins/platform.rs
@@ -4,8 +4,7 @@
 use crate::http::{serve, Message};
 use crate::record::Record;
 use std::net::{SocketAddr, TcpListener};
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::thread::sleep;
 use std::time::Duration;
 
@@ -33,9 +32,23 @@
     Duration::from_millis(number.unwrap_or(0))
 }
 
-/// The answer of a worker that runs each request. A worker in trouble ends the lines of its
-/// heads with LF alone, which is no answer in HTTP/1.1 (RFC 9112, section 2.2).
-fn run_request(id: &str, request: &Message, record: &Record, in_trouble: bool) -> String {
+/// What workers in trouble send beside or instead of sound answers.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Trouble {
+    #[default]
+    None,
+    /// An empty line more after the answer before, which arrives late: just before the next one.
+    SurplusLine,
+    /// Heads whose lines end with LF alone, which is no answer in HTTP/1.1 (RFC 9112, section
+    /// 2.2).
+    LineFeeds,
+}
+
+/// The trouble of all workers.
+pub type SharedTrouble = Arc<Mutex<Trouble>>;
+
+/// The answer of a worker that runs each request.
+fn run_request(id: &str, request: &Message, record: &Record, trouble: Trouble) -> String {
     let attempt = request.header("sorreldoor-attempt-id").unwrap_or("");
     let wanted = request.header("sorreldoor-want-worker");
     if wanted.is_some_and(|w| w != id) {
@@ -47,14 +60,17 @@
     record.write(&format!("worker {id} has run {attempt} and answers it"));
     let headers = format!("Sorreldoor-Attempt-Id: {attempt}\r\nSorreldoor-Worker-Seal: {id}.{attempt}\r\n");
     let answer = response("200 OK", &headers, PAGE);
-    let answer = if in_trouble { answer.replace("\r\n", "\n") } else { answer };
+    let answer = match trouble {
+        Trouble::None => answer,
+        Trouble::SurplusLine => format!("\r\n{answer}"),
+        Trouble::LineFeeds => answer.replace("\r\n", "\n"),
+    };
     record.write(&format!("worker {id} sends {answer:?}"));
     answer
 }
 
-/// Starts one worker for each zone, and the list that names them; returns its address. The
-/// workers are in trouble while `trouble` is set.
-pub fn start(record: &Record, trouble: &Arc<AtomicBool>) -> Result<SocketAddr, String> {
+/// Starts one worker for each zone, and the list that names them; returns its address.
+pub fn start(record: &Record, trouble: &SharedTrouble) -> Result<SocketAddr, String> {
     let mut entries = Vec::new();
     for machine in 0..MACHINES {
         let (listener, addr) = listen()?;
@@ -64,7 +80,8 @@
         ));
         let trouble = trouble.clone();
         serve(listener, move |request| {
-            run_request(&id, request, &record, trouble.load(Ordering::SeqCst))
+            let trouble = *trouble.lock().unwrap_or_else(PoisonError::into_inner);
+            run_request(&id, request, &record, trouble)
         });
     }
     let list = format!("{{\"pool\":[{}],\"next\":null}}", entries.join(","));
--- a/review/standins/spoiled.rs
+++ b/review/standins/spoiled.rs
@@ -1,15 +1,14 @@
-//! Workers in trouble send bytes that are no answer: the lines of their heads end with LF alone.
-//! A client must not get them as a success with other bytes than the worker's body.
+//! Workers in trouble send an empty line more after an answer, or bytes that are no answer: the
+//! lines of their heads end with LF alone. A client must get a failure or the worker's answer.
 
 use crate::fleet::{Fleet, MACHINES};
 use crate::operator::{self, HOST};
-use crate::platform::{self, PAGE};
+use crate::platform::{self, SharedTrouble, Trouble, PAGE};
 use crate::record::Record;
 use crate::Verdict;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::Arc;
+use std::sync::PoisonError;
 use std::thread::sleep;
 use std::time::Duration;
 
@@ -56,6 +55,9 @@
         return Some("bytes that are no answer".into());
     };
     let (head, body) = (&text[..head_end], &text[body_start..]);
+    if !head.starts_with("HTTP/1.1 ") {
+        return Some(format!("bytes that are no answer: {head:?}"));
+    }
     let status: u16 = head.split(' ').nth(1).and_then(|s| s.parse().ok()).unwrap_or(0);
     let lines = head.lines().filter_map(|line| line.split_once(':'));
     let length = lines
@@ -69,25 +71,31 @@
     (!rest.is_empty()).then(|| format!("bytes that belong to no answer: {rest:?}"))
 }
 
-/// Sends two requests on one connection, the second once the workers are sound again.
-fn two_requests(
+/// Sends three requests on one connection; the workers are in trouble at the second.
+fn three_requests(
     edge: SocketAddr,
-    machine: usize,
-    in_trouble: &AtomicBool,
-    trouble: bool,
+    name: &str,
+    trouble: Trouble,
+    shared: &SharedTrouble,
     record: &Record,
 ) -> Result<Vec<String>, String> {
     let mut stream = TcpStream::connect(edge).map_err(|e| e.to_string())?;
-    in_trouble.store(trouble, Ordering::SeqCst);
-    let first = exchange(&mut stream, &format!("a{machine:015x}"), record)?;
-    in_trouble.store(false, Ordering::SeqCst);
-    let second = exchange(&mut stream, &format!("b{machine:015x}"), record).unwrap_or_default();
-    Ok([first, second].iter().filter_map(|bytes| fault(bytes)).collect())
+    let mut faults = Vec::new();
+    for (number, trouble) in [Trouble::None, trouble, Trouble::None].into_iter().enumerate() {
+        *shared.lock().unwrap_or_else(PoisonError::into_inner) = trouble;
+        record.write(&format!("trouble of the workers: {trouble:?}"));
+        let Ok(received) = exchange(&mut stream, &format!("{name}{number:x}"), record) else {
+            // the edge has closed the connection after an answer that says so or a failure
+            break;
+        };
+        faults.extend(fault(&received).map(|fault| format!("{name}{number:x}: {fault}")));
+    }
+    Ok(faults)
 }
 
 pub fn run(record: &Record, trouble: bool) -> Result<Verdict, String> {
-    let in_trouble = Arc::new(AtomicBool::new(false));
-    let provider = platform::start(record, &in_trouble)?;
+    let shared = SharedTrouble::default();
+    let provider = platform::start(record, &shared)?;
     let mut fleet = Fleet::new(provider, record)?;
     fleet.start_all()?;
     if !operator::put_first(&fleet, record, "idem", TIMEOUT_MS, PATIENCE) {
@@ -99,7 +107,11 @@
     let mut faults = Vec::new();
     for machine in 0..MACHINES {
         let edge = fleet.edge_addr(machine);
-        faults.extend(two_requests(edge, machine, &in_trouble, trouble, record)?);
+        for kind in [Trouble::SurplusLine, Trouble::LineFeeds] {
+            let name = format!("{:014x}{machine:x}", kind as u8);
+            let kind = if trouble { kind } else { Trouble::None };
+            faults.extend(three_requests(edge, &name, kind, &shared, record)?);
+        }
     }
     match faults.is_empty() {
         true => Ok(Verdict::Held("each answer is a failure or the worker's whole body".into())),
