--- a/review/standins/drain.rs
+++ b/review/standins/drain.rs
@@ -52,7 +52,13 @@
         ];
         record.write(&format!("client: sends {id} on a new connection to {edge}"));
         let target = format!("POST /volo102/w{work_ms}");
-        let answer = call(edge, &target, &headers, "x", Duration::from_millis(deadline_ms));
+        let answer = call(
+            edge,
+            &target,
+            &headers,
+            "x",
+            Duration::from_millis(deadline_ms),
+        );
         let shown = match &answer {
             Ok(answer) => format!("{} {}", answer.status(), answer.body),
             Err(error) => format!("the connection ends without an answer: {error}"),
@@ -67,7 +73,13 @@
     let started_at = Instant::now();
     while started_at.elapsed() < PATIENCE {
         let target = format!("GET /api/lookup?name={HOST}&rgn=khomas&az=ausspannplatz-hall");
-        let answer = call(fleet.directory_addr(MACHINE), &target, &[], "", Duration::from_secs(1));
+        let answer = call(
+            fleet.directory_addr(MACHINE),
+            &target,
+            &[],
+            "",
+            Duration::from_secs(1),
+        );
         let body = answer.map_or(String::new(), |a| a.body);
         if body.contains(&edge.to_string()) {
             record.write(&format!("client: the directory answers {body}"));
@@ -90,7 +102,13 @@
     sleep(Duration::from_secs(5));
     fleet.check_running()?;
     let edge = fleet.edge_addr(MACHINE);
-    let long = send(record, edge, "a000000000000001".into(), LONG_WORK_MS, TIMEOUT_MS);
+    let long = send(
+        record,
+        edge,
+        "a000000000000001".into(),
+        LONG_WORK_MS,
+        TIMEOUT_MS,
+    );
     sleep(Duration::from_millis(100));
     let ttl_s = look_up(&fleet, record, edge).ok_or("the directory does not name the edge")?;
     let looked_up_at = Instant::now();
@@ -101,7 +119,15 @@
     let hold = Duration::from_secs_f64(ttl_s * HOLD_FACTOR);
     sleep(hold.saturating_sub(looked_up_at.elapsed() + MARGIN));
     let late: Vec<JoinHandle<Outcome>> = (0..LATE_CLIENTS)
-        .map(|n| send(record, edge, format!("b{n:015x}"), LATE_WORK_MS, LATE_DEADLINE_MS))
+        .map(|n| {
+            send(
+                record,
+                edge,
+                format!("b{n:015x}"),
+                LATE_WORK_MS,
+                LATE_DEADLINE_MS,
+            )
+        })
         .collect();
     let grace = Duration::from_millis(GRACE_MS);
     while trouble && !fleet.has_ended(MACHINE, Role::Edge) && terminated_at.elapsed() < grace {
--- a/review/standins/fleet.rs
+++ b/review/standins/fleet.rs
@@ -71,7 +71,9 @@
         let free = |network: &u8| {
             let ports = [EDGE_PORT, DIRECTORY_PORT, OPERATOR_PORT, READY_PORT];
             let address = Ipv4Addr::new(127, *network, 0, 1);
-            ports.iter().all(|port| TcpListener::bind((address, *port)).is_ok())
+            ports
+                .iter()
+                .all(|port| TcpListener::bind((address, *port)).is_ok())
         };
         let network = (first..=u8::MAX).find(free).ok_or("no free addresses")?;
         Ok(Fleet {
@@ -115,8 +117,13 @@
     fn settings(&self, machine: usize, role: Role, bootstrap: bool) -> String {
         let ip = self.ip(machine);
         let (zone, region) = ZONES[machine];
-        let seeds: Vec<String> = (0..MACHINES).map(|m| self.operator_addr(m).to_string()).collect();
-        let azs: Vec<String> = ZONES.iter().map(|(z, r)| format!("{z} = \"{r}\"")).collect();
+        let seeds: Vec<String> = (0..MACHINES)
+            .map(|m| self.operator_addr(m).to_string())
+            .collect();
+        let azs: Vec<String> = ZONES
+            .iter()
+            .map(|(z, r)| format!("{z} = \"{r}\""))
+            .collect();
         let serves = match role {
             Role::Core => "[\"ctl\"]",
             Role::Edge => "[\"edge\",\"dir\"]",
@@ -144,7 +151,10 @@
         fs::create_dir_all(folder.join("data")).map_err(text)?;
         let settings = folder.join("boot.toml");
         fs::write(&settings, self.settings(machine, role, bootstrap)).map_err(text)?;
-        let log = fs::OpenOptions::new().create(true).append(true).open(folder.join("log"));
+        let log = fs::OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(folder.join("log"));
         let words = &self.commands[usize::from(role == Role::Edge)];
         let kept = ["PATH", "HOME", "LANG"];
         let child = Command::new(&words[0])
@@ -215,7 +225,9 @@
         };
         self.processes.swap_remove(position);
         let name = role.name();
-        self.record.write(&format!("{name} on machine {machine} has ended by itself: {status}"));
+        self.record.write(&format!(
+            "{name} on machine {machine} has ended by itself: {status}"
+        ));
         true
     }
 
@@ -223,7 +235,10 @@
     pub fn check_running(&mut self) -> Result<(), String> {
         for (machine, role, child) in &mut self.processes {
             if let Ok(Some(status)) = child.try_wait() {
-                return Err(format!("{} on machine {machine} has ended: {status}", role.name()));
+                return Err(format!(
+                    "{} on machine {machine} has ended: {status}",
+                    role.name()
+                ));
             }
         }
         Ok(())
@@ -235,7 +250,10 @@
             for role in [Role::Core, Role::Edge] {
                 let log = fs::read_to_string(self.folder(machine, role).join("log"));
                 for line in log.unwrap_or_default().lines().take(20) {
-                    self.record.write(&format!("log of {} on machine {machine}: {line}", role.name()));
+                    self.record.write(&format!(
+                        "log of {} on machine {machine}: {line}",
+                        role.name()
+                    ));
                 }
             }
         }
--- a/review/standins/founding.rs
+++ b/review/standins/founding.rs
@@ -51,12 +51,20 @@
             ("Sorreldoor-Deadline-Ms", "2500"),
         ];
         let to = fleet.edge_addr(machine);
-        let answer = call(to, "POST /volo102/2f", &headers, "x", Duration::from_millis(2500));
+        let answer = call(
+            to,
+            "POST /volo102/2f",
+            &headers,
+            "x",
+            Duration::from_millis(2500),
+        );
         let shown = match &answer {
             Ok(answer) => format!("{} {}", answer.status(), answer.body),
             Err(error) => format!("no answer: {error}"),
         };
-        record.write(&format!("client: request {id} to machine {machine}: {shown}"));
+        record.write(&format!(
+            "client: request {id} to machine {machine}: {shown}"
+        ));
         answer.is_ok_and(|a| a.status() == 200)
     };
     (0..MACHINES).filter(|machine| send(*machine)).count()
--- a/review/standins/http.rs
+++ b/review/standins/http.rs
@@ -46,7 +46,9 @@
             _ => message.start = line.to_string(),
         }
     }
-    let length = message.header("content-length").and_then(|l| l.parse().ok());
+    let length = message
+        .header("content-length")
+        .and_then(|l| l.parse().ok());
     let mut body = vec![0; length.unwrap_or(0)];
     reader.read_exact(&mut body)?;
     message.body = String::from_utf8_lossy(&body).into_owned();
@@ -65,7 +67,10 @@
     let mut stream = TcpStream::connect_timeout(&to, limit)?;
     let left = limit.saturating_sub(started_at.elapsed());
     stream.set_read_timeout(Some(left.max(Duration::from_millis(1))))?;
-    let mut request = format!("{method_and_target} HTTP/1.1\r\nContent-Length: {}\r\n", body.len());
+    let mut request = format!(
+        "{method_and_target} HTTP/1.1\r\nContent-Length: {}\r\n",
+        body.len()
+    );
     for (name, value) in headers {
         request.push_str(&format!("{name}: {value}\r\n"));
     }
@@ -80,10 +85,7 @@
 }
 
 /// Answers each request on each connection with the whole response that `answer` returns.
-pub fn serve(
-    listener: TcpListener,
-    answer: impl Fn(&Message) -> String + Clone + Send + 'static,
-) {
+pub fn serve(listener: TcpListener, answer: impl Fn(&Message) -> String + Clone + Send + 'static) {
     std::thread::spawn(move || {
         for stream in listener.incoming().flatten() {
             let answer = answer.clone();
--- a/review/standins/operator.rs
+++ b/review/standins/operator.rs
@@ -41,7 +41,9 @@
             Ok(answer) => format!("{} {}", answer.status(), answer.body),
             Err(error) => format!("no answer: {error}"),
         };
-        record.write(&format!("operator: first configuration to machine {machine}: {shown}"));
+        record.write(&format!(
+            "operator: first configuration to machine {machine}: {shown}"
+        ));
         if answer.is_ok_and(|a| a.status() == 200) {
             return true;
         }
--- a/review/standins/platform.rs
+++ b/review/standins/platform.rs
@@ -55,10 +55,14 @@
         let headers = format!("Sorreldoor-Attempt-Id: {attempt}\r\nSorreldoor-Not-Run: 1\r\n");
         return response("421 Misdirected Request", &headers, "");
     }
-    record.write(&format!("worker {id} begins to run {attempt}: {}", request.start));
+    record.write(&format!(
+        "worker {id} begins to run {attempt}: {}",
+        request.start
+    ));
     sleep(work(request));
     record.write(&format!("worker {id} has run {attempt} and answers it"));
-    let headers = format!("Sorreldoor-Attempt-Id: {attempt}\r\nSorreldoor-Worker-Seal: {id}.{attempt}\r\n");
+    let headers =
+        format!("Sorreldoor-Attempt-Id: {attempt}\r\nSorreldoor-Worker-Seal: {id}.{attempt}\r\n");
     let answer = response("200 OK", &headers, PAGE);
     let answer = match trouble {
         Trouble::None => answer,
@@ -86,6 +90,8 @@
     }
     let list = format!("{{\"pool\":[{}],\"next\":null}}", entries.join(","));
     let (listener, addr) = listen()?;
-    serve(listener, move |_| response("200 OK", "Content-Type: application/json\r\n", &list));
+    serve(listener, move |_| {
+        response("200 OK", "Content-Type: application/json\r\n", &list)
+    });
     Ok(addr)
 }
--- a/review/standins/spoiled.rs
+++ b/review/standins/spoiled.rs
@@ -23,7 +23,9 @@
         "POST /volo102/2f HTTP/1.1\r\nHost: {HOST}\r\nSorreldoor-Attempt-Id: {id}\r\nSorreldoor-Deadline-Ms: {TIMEOUT_MS}\r\nContent-Length: 1\r\n\r\nx"
     );
     record.write(&format!("client: sends {id} on its kept connection"));
-    stream.write_all(request.as_bytes()).map_err(|e| e.to_string())?;
+    stream
+        .write_all(request.as_bytes())
+        .map_err(|e| e.to_string())?;
     let mut received = Vec::new();
     let mut part = [0; 4096];
     loop {
@@ -31,7 +33,9 @@
             true => Duration::from_millis(TIMEOUT_MS),
             false => QUIET,
         };
-        stream.set_read_timeout(Some(limit)).map_err(|e| e.to_string())?;
+        stream
+            .set_read_timeout(Some(limit))
+            .map_err(|e| e.to_string())?;
         match stream.read(&mut part) {
             Ok(count) if count > 0 => received.extend_from_slice(&part[..count]),
             _ => break,
@@ -58,7 +62,11 @@
     if !head.starts_with("HTTP/1.1 ") {
         return Some(format!("bytes that are no answer: {head:?}"));
     }
-    let status: u16 = head.split(' ').nth(1).and_then(|s| s.parse().ok()).unwrap_or(0);
+    let status: u16 = head
+        .split(' ')
+        .nth(1)
+        .and_then(|s| s.parse().ok())
+        .unwrap_or(0);
     let lines = head.lines().filter_map(|line| line.split_once(':'));
     let length = lines
         .filter(|(name, _)| name.eq_ignore_ascii_case("content-length"))
@@ -66,7 +74,9 @@
     let body_length = length.unwrap_or(body.len()).min(body.len());
     let (body, rest) = body.split_at(body_length);
     if (200..300).contains(&status) && body != PAGE {
-        return Some(format!("a success with the body {body:?} instead of {PAGE:?}"));
+        return Some(format!(
+            "a success with the body {body:?} instead of {PAGE:?}"
+        ));
     }
     (!rest.is_empty()).then(|| format!("bytes that belong to no answer: {rest:?}"))
 }
@@ -81,7 +91,10 @@
 ) -> Result<Vec<String>, String> {
     let mut stream = TcpStream::connect(edge).map_err(|e| e.to_string())?;
     let mut faults = Vec::new();
-    for (number, trouble) in [Trouble::None, trouble, Trouble::None].into_iter().enumerate() {
+    for (number, trouble) in [Trouble::None, trouble, Trouble::None]
+        .into_iter()
+        .enumerate()
+    {
         *shared.lock().unwrap_or_else(PoisonError::into_inner) = trouble;
         record.write(&format!("trouble of the workers: {trouble:?}"));
         let Ok(received) = exchange(&mut stream, &format!("{name}{number:x}"), record) else {
@@ -114,7 +127,9 @@
         }
     }
     match faults.is_empty() {
-        true => Ok(Verdict::Held("each answer is a failure or the worker's whole body".into())),
+        true => Ok(Verdict::Held(
+            "each answer is a failure or the worker's whole body".into(),
+        )),
         false => Ok(Verdict::Broken(faults.join("; "))),
     }
 }
