--- a/review/standins/drain.rs
+++ b/review/standins/drain.rs
@@ -20,7 +20,7 @@
 /// The late requests: their clients wait until long after the grace period.
 const LATE_WORK_MS: u64 = 2500;
 const LATE_DEADLINE_MS: u64 = 6000;
-const LATE_CLIENTS: usize = 8;
+const LATE_CLIENTS: usize = 24;
 /// Some clients hold an answer of the directory three times as long as it says (PROTOCOL.md).
 const HOLD_FACTOR: f64 = 3.0;
 /// The late clients connect this long before they would ask the directory again.
