Forward a success without content on a stream route without a body

Cause: forward_response took every success on a stream route for a stream, and a stream is written in chunks. Other routes leave out the framing of a 204.

Evidence: a_success_without_content_on_a_stream_route_has_no_body failed before (the head that the client got had Transfer-Encoding: chunked) and passes after, for routes with and without resume and for three framings by the worker.

Ruled out: a body sent by the worker (there was none); failures and 304 (only a 2xx is relayed as a stream).

Why it works: what has no body by its framing is no longer relayed as a stream, but forwarded like the responses of other routes.

--- a/sorreldoor/src/proxy/upstream/run_attempt.rs
+++ b/sorreldoor/src/proxy/upstream/run_attempt.rs
@@ -133,7 +133,9 @@
     head: Head,
     framing: Framing,
 ) -> AttemptResult {
-    if is_success(&head) && attempt.route.kind == Kind::Stream {
+    // without a body, as with status 204, there are no events to relay
+    let is_stream = attempt.route.kind == Kind::Stream && framing != Framing::None;
+    if is_success(&head) && is_stream {
         return relay_stream(attempt, client, delivery, connection, head, framing).await;
     }
     if delivery.head_sent {
--- a/sorreldoor/tests/proxy/response_syntax.rs
+++ b/sorreldoor/tests/proxy/response_syntax.rs
@@ -121,3 +121,22 @@
         }
     });
 }
+
+/// Guards against a chunked body after a status that has no body: the client takes its
+/// bytes for the beginning of the next response.
+#[test]
+fn a_success_without_content_on_a_stream_route_has_no_body() {
+    block_on_test(async {
+        for path in STREAM_PATHS {
+            for framing in [
+                "",
+                "content-length: 0\r\n",
+                "transfer-encoding: chunked\r\n",
+            ] {
+                let bytes = format!("HTTP/1.1 204 No Content\r\n{HEADERS}{framing}\r\n");
+                let response = response_to(path, &bytes).await;
+                assert_eq!(response, (204, String::new()), "{path} {framing:?}");
+            }
+        }
+    });
+}
