--- a/sorreldoor/src/consensus/proposal.rs
+++ b/sorreldoor/src/consensus/proposal.rs
@@ -123,7 +123,8 @@
     }
 
     fn resend_due(&self, pending: &PendingProposal) -> bool {
-        // a large body takes longer to transmit
+        // a large body takes longer to transmit, and may still be in flight when a small
+        // one would be late
         let transmission = pending.body.bytes() as Millis / MIN_LINK_BYTES_PER_MS;
         let wait = self.timing.resend_interval * 2 + transmission;
         let sent_at = pending.sent_at;
--- a/sorreldoor/src/control_plane/idempotency/mod.rs
+++ b/sorreldoor/src/control_plane/idempotency/mod.rs
@@ -92,7 +92,8 @@
     }
 
     /// Whether this core knows every claim that it may have granted before. Until
-    /// then it does not vote, and does not report its table to peers as complete.
+    /// then it does not vote, and does not report its table to peers as complete: a
+    /// core that may have forgotten a claim must not deny that it was made.
     #[must_use]
     pub fn is_caught_up(&self) -> bool {
         self.catch_up.is_caught_up()
--- a/sorreldoor/src/control_plane/membership/reducer.rs
+++ b/sorreldoor/src/control_plane/membership/reducer.rs
@@ -19,7 +19,8 @@
 const MAX_STANDBY_SILENCE_MS: Millis = 1000;
 /// Interval of the leader's membership checks.
 const CHECK_MS: Millis = 100;
-/// Maximum number of members; further cores do not join.
+/// Maximum number of members; further cores do not join, so that joining machines
+/// cannot grow the list without bound.
 const MAX_MEMBERS: usize = 16;
 /// Least number of voters that tolerate the loss of one.
 const MIN_VOTERS: usize = 3;
--- a/sorreldoor/src/control_plane/sessions.rs
+++ b/sorreldoor/src/control_plane/sessions.rs
@@ -11,7 +11,8 @@
 /// Least silence after which a session ends, and after which the sessions that a
 /// silent core has reported are left out.
 pub(super) const SESSION_TIMEOUT_MS: Millis = 1500;
-/// Minimum interval between two merges of changed sessions.
+/// Minimum interval between two merges of changed sessions; a first change after a
+/// longer time is not delayed.
 const MIN_MERGE_INTERVAL_MS: Millis = 50;
 /// Minimum interval between two reports of changed sessions.
 const MIN_REPORT_INTERVAL_MS: Millis = 100;
--- a/sorreldoor/src/discovery.rs
+++ b/sorreldoor/src/discovery.rs
@@ -186,6 +186,7 @@
         version: version.unwrap_or(0),
         workers,
     };
+    // workers that are missing from a partial list would seem to be gone
     Some(registry)
         .filter(|_| faults.is_empty())
         .ok_or(faults.into_list().join("; "))
--- a/sorreldoor/src/pacing.rs
+++ b/sorreldoor/src/pacing.rs
@@ -20,7 +20,8 @@
     "unverified_after_ms",
 ];
 
-/// The settings of [`KEYS`]. The defaults favour latency.
+/// The settings of [`KEYS`]. The defaults favour latency, for sites where bandwidth
+/// and wake-ups are cheap.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Pacing {
     /// Interval of a core's ticks, which drive its timers.
--- a/sorreldoor/src/proxy/controller.rs
+++ b/sorreldoor/src/proxy/controller.rs
@@ -301,7 +301,7 @@
             self.subscription.on_withheld_grant(no, self.now);
             return;
         }
-        // an unverified update is granted only while no confirmed state is known
+        // an unverified update may be stale; granted only while no confirmed state is known
         let granted = self.subscription.on_grant(no, ok, has_document, self.now);
         if granted != GrantOutcome::Rejected {
             self.apply_delta(delta);
--- a/sorreldoor/src/proxy/drain.rs
+++ b/sorreldoor/src/proxy/drain.rs
@@ -12,7 +12,8 @@
 /// How long new connections are accepted after the signal to stop, while clients
 /// still use older endpoint lists.
 const ACCEPT_AFTER_STOP: Duration = Duration::from_millis(2500);
-/// How long before the end of the grace period queued requests are rejected.
+/// How long before the end of the grace period queued requests are rejected, while
+/// their responses can still be sent.
 const QUEUE_MARGIN: Duration = Duration::from_millis(1000);
 /// How long before the end of the grace period the process exits.
 const EXIT_MARGIN: Duration = Duration::from_millis(200);
--- a/sorreldoor/src/proxy/shared_state.rs
+++ b/sorreldoor/src/proxy/shared_state.rs
@@ -112,7 +112,8 @@
         self.queue_closed.load(Ordering::Relaxed)
     }
 
-    /// Rejects all queued requests from now on; none of them has run.
+    /// Rejects all queued requests from now on: none of them has run, and there is no
+    /// time left for them to run here.
     pub fn close_queue(&self) {
         if !self.queue_closed.swap(true, Ordering::Relaxed) {
             for waker in self.queued().values() {
--- a/sorreldoor/src/wire/lease.rs
+++ b/sorreldoor/src/wire/lease.rs
@@ -49,7 +49,8 @@
     pub version: u64,
     /// Whether there is a configuration at that revision.
     pub has_document: bool,
-    /// The `StateUpdate` in CBOR, possibly compressed.
+    /// The `StateUpdate` in CBOR, possibly compressed. Shared, since many edges are
+    /// sent the same one.
     #[serde(serialize_with = "as_bytes")]
     pub bytes: Arc<Vec<u8>>,
     /// Length of the CBOR if `bytes` is an LZ4 block; 0 if `bytes` is not
@@ -88,7 +89,7 @@
 }
 
 /// The bytes as an LZ4 block; `None` if they are short or the block is not
-/// smaller.
+/// smaller. Routes resemble one another, and the link of an edge may be narrow.
 fn compress(bytes: &[u8]) -> Option<Vec<u8>> {
     let worthwhile = bytes.len() >= MIN_COMPRESSED_BYTES;
     let compressed = worthwhile.then(|| block::compress(bytes))?;
