Treat a response with a status below 100 as malformed

Cause: httparse accepts any three digits as a status, and the proxy did not check the range (RFC 9110, section 15: codes begin at 100).

Evidence: a_response_with_an_invalid_status_is_not_forwarded failed before (the client got the status 0) and passes after, on all four kinds of routes.

Ruled out: interim statuses, which are skipped before. Codes of 600 and more stay as they are, since clients can read them.

Why it works: such a head takes the way of any other bytes that are no response; the client gets a 502 if no other worker may be tried.

--- a/sorreldoor/src/proxy/http1/parse.rs
+++ b/sorreldoor/src/proxy/http1/parse.rs
@@ -7,6 +7,8 @@
 const MAX_HEADERS: usize = 96;
 /// Limit on an incomplete response head, in bytes.
 const MAX_RESPONSE_HEAD_BYTES: usize = 64 << 10;
+/// The lowest status code (RFC 9110, section 15).
+const MIN_STATUS: u16 = 100;
 
 /// Removes a complete request head from the front of `buffer`; `None` while
 /// it is incomplete.
@@ -50,8 +52,8 @@
 /// it is incomplete.
 ///
 /// # Errors
-/// [`ReadError::Malformed`]; [`ReadError::HeadTooLarge`] for an incomplete head above
-/// the limit.
+/// [`ReadError::Malformed`], also for a status below 100;
+/// [`ReadError::HeadTooLarge`] for an incomplete head above the limit.
 pub fn parse_response_head(buffer: &mut ReadBuffer) -> Result<Option<Head>, ReadError> {
     let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
     let mut response = httparse::Response::new(&mut headers);
@@ -62,7 +64,8 @@
         return incomplete(buffer, MAX_RESPONSE_HEAD_BYTES);
     };
     let raw = buffer.unread();
-    let status = response.code.unwrap_or(0);
+    let status = response.code.filter(|code| *code >= MIN_STATUS);
+    let status = status.ok_or(ReadError::Malformed)?;
     let reason = range_in(raw, response.reason.unwrap_or("").as_bytes());
     let minor_version = response.version.unwrap_or(1);
     let headers = header_ranges(raw, response.headers);
--- a/sorreldoor/src/proxy/response_writer.rs
+++ b/sorreldoor/src/proxy/response_writer.rs
@@ -9,7 +9,7 @@
 /// end, encoded anew from its parsed parts.
 fn encode_head(head: &Head) -> Vec<u8> {
     // the space after the status is mandatory (RFC 9112, section 4)
-    let status_line = format!("HTTP/1.1 {:03} {}\r\n", head.status, head.reason());
+    let status_line = format!("HTTP/1.1 {} {}\r\n", head.status, head.reason());
     let mut out = status_line.into_bytes();
     for (name, value) in head.iter().filter(|(name, _)| !head.is_hop_by_hop(name)) {
         out.extend_from_slice(name.as_bytes());
--- a/sorreldoor/tests/proxy/response_syntax.rs
+++ b/sorreldoor/tests/proxy/response_syntax.rs
@@ -140,3 +140,21 @@
         }
     });
 }
+
+/// Guards against a status below 100 that is forwarded: clients take it for no response,
+/// or for an interim one.
+#[test]
+fn a_response_with_an_invalid_status_is_not_forwarded() {
+    block_on_test(async {
+        for status in ["000", "099"] {
+            let invalid = with_length(&format!("HTTP/1.1 {status} Odd"), "\r\n");
+            for path in ["/get/1", "/once/1", "/say/1", "/ask/1"] {
+                let worker = start_stub_worker(vec![Behavior::Bytes(invalid.clone())]).await;
+                let proxy = start_proxy(&[&worker]).await;
+                let mut client = Client::new(&proxy).await;
+                let response = client.send_request(path, "", "b").await.unwrap();
+                assert_eq!(response.status, 502, "{path} {status}");
+            }
+        }
+    });
+}
