Soak: workers send heads with lenient line ends, and clients read heads strictly

Now one in 16 responses of its workers follows a surplus empty line and as many have LF line ends, on plain routes and streams; a client counts a head that a strict client could not read, and bytes that are no response, as a violation of whole-answers. No rule was narrowed.

The two checks have a test each without processes.

--- a/testbed/src/hosted_soak/checks.rs
+++ b/testbed/src/hosted_soak/checks.rs
@@ -103,13 +103,15 @@
     ("answered", answered),
 ];
 
-/// Every success is complete, and the response of a worker to this request.
+/// Every response is well-formed, and every success is complete and the response of a
+/// worker to this request.
 pub fn whole_answers(evidence: &Evidence) -> Vec<String> {
     let faults = evidence.requests.iter().filter_map(|request| {
-        let Ending::Answered { fault, .. } = &request.ending else {
-            return None;
+        let fault = match &request.ending {
+            Ending::Answered { fault, .. } => fault.as_deref()?,
+            Ending::Malformed => "bytes that are no response",
+            Ending::Closed | Ending::TimedOut | Ending::NotSent => return None,
         };
-        let fault = fault.as_ref()?;
         Some(format!("{} {}: {fault}", request.attempt_id, request.path))
     });
     faults.collect()
--- a/testbed/src/hosted_soak/clients.rs
+++ b/testbed/src/hosted_soak/clients.rs
@@ -4,6 +4,7 @@
 use super::plan::{key, RouteKind, HOST, IDLE_MS};
 use super::processes::{ProcessFleet, ProcessRole};
 use super::records::{Ending, Records, RequestRecord};
+use super::strict_head::syntax_fault;
 use super::workers::{event, plain_body, stream_request};
 use crate::rand::Rand;
 use crate::sync::lock;
@@ -197,8 +198,8 @@
                 let answer = read_answer(connection, &attempt_id, draft);
                 match timeout(RESPONSE_TIMEOUT, answer).await {
                     Err(_) => (Ending::TimedOut, None),
-                    Ok(None) => (Ending::Closed, None),
-                    Ok(Some((head, fault))) => {
+                    Ok(Err(ending)) => (ending, None),
+                    Ok(Ok((head, fault))) => {
                         let status = head.status;
                         (Ending::Answered { status, fault }, Some(head))
                     }
@@ -259,42 +260,52 @@
         let request = b"GET /api/readyz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
         stream.write_all(request).await.ok()?;
         let mut buffer = ReadBuffer::default();
-        read_head(&mut stream, &mut buffer).await
+        read_head(&mut stream, &mut buffer).await.ok()
     };
     let head = timeout(CONNECT_TIMEOUT, check).await.ok().flatten();
     head.is_some_and(|head| head.status == 200)
 }
 
-async fn read_head(stream: &mut TcpStream, buffer: &mut ReadBuffer) -> Option<Head> {
+/// Reads one head.
+///
+/// # Errors
+/// [`Ending::Closed`] or [`Ending::Malformed`].
+async fn read_head(stream: &mut TcpStream, buffer: &mut ReadBuffer) -> Result<Head, Ending> {
     loop {
-        if let Some(head) = parse_response_head(buffer).ok()? {
-            return Some(head);
+        if let Some(head) = parse_response_head(buffer).map_err(|_| Ending::Malformed)? {
+            return Ok(head);
         }
         if !matches!(buffer.fill(stream).await, Ok(count) if count > 0) {
-            return None;
+            return Err(Ending::Closed);
         }
     }
 }
 
-/// Reads one response, with what is wrong with it, if anything; `None` if the connection
-/// ends before the response does.
+/// Reads one response, with what is wrong with it, if anything.
+///
+/// # Errors
+/// [`Ending::Closed`] if the connection ends before the response does, and
+/// [`Ending::Malformed`].
 async fn read_answer(
     connection: &mut Connection,
     attempt_id: &str,
     draft: &Draft,
-) -> Option<(Head, Option<String>)> {
+) -> Result<(Head, Option<String>), Ending> {
     let Connection { stream, buffer, .. } = connection;
     let head = read_head(stream, buffer).await?;
-    let framing = head.response_framing("POST").ok()?;
-    let mut decoder = BodyDecoder::new(framing);
+    let framing = head.response_framing("POST");
+    let mut decoder = BodyDecoder::new(framing.map_err(|_| Ending::Malformed)?);
     let mut body = Vec::new();
-    while !decoder.decode(buffer, &mut body).ok()? {
+    while !decoder
+        .decode(buffer, &mut body)
+        .map_err(|_| Ending::Malformed)?
+    {
         if !matches!(buffer.fill(stream).await, Ok(count) if count > 0) {
-            return None;
+            return Err(Ending::Closed);
         }
     }
-    let fault = fault_of(&head, &body, attempt_id, draft);
-    Some((head, fault))
+    let fault = syntax_fault(&head).or_else(|| fault_of(&head, &body, attempt_id, draft));
+    Ok((head, fault))
 }
 
 /// What is wrong with a success: it must be a complete response of a worker to this
--- a/testbed/src/hosted_soak/mod.rs
+++ b/testbed/src/hosted_soak/mod.rs
@@ -14,6 +14,7 @@
 mod processes;
 pub mod records;
 mod report;
+pub mod strict_head;
 mod workers;
 
 pub use report::Report;
--- a/testbed/src/hosted_soak/records.rs
+++ b/testbed/src/hosted_soak/records.rs
@@ -16,6 +16,8 @@
     Answered { status: u16, fault: Option<String> },
     /// The connection closed before the end of the response.
     Closed,
+    /// The bytes that the client received are no HTTP response.
+    Malformed,
     /// The client timed out.
     TimedOut,
     /// The request was not written completely.
--- a/testbed/src/hosted_soak/workers.rs
+++ b/testbed/src/hosted_soak/workers.rs
@@ -23,6 +23,9 @@
 /// Time between two events of a stream, and duration of a plain request.
 const EVENT_INTERVAL_MS: u64 = 30;
 const WORK_MS: u64 = 15;
+/// One in this many responses follows a surplus empty line, and as many have a head whose
+/// lines end with LF alone.
+const ODD_HEAD_PERIOD: u64 = 16;
 
 /// How a worker handles its requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -193,10 +196,11 @@
         }
         let body = plain_body(id);
         let text = format!(
-            "HTTP/1.1 200 OK\r\n{ATTEMPT}: {id}\r\n{SEAL}: {}.{id}\r\nContent-Length: {}\r\n\r\n{body}",
+            "HTTP/1.1 200 OK\r\n{ATTEMPT}: {id}\r\n{SEAL}: {}.{id}\r\nContent-Length: {}\r\n\r\n",
             identity.id,
             body.len()
         );
+        let text = with_odd_line_ends(text, id) + &body;
         stream.write_all(text.as_bytes()).await.is_ok()
     }
 
@@ -212,6 +216,7 @@
             "HTTP/1.1 200 OK\r\n{ATTEMPT}: {id}\r\n{SEAL}: {}.{id}\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
             identity.id
         );
+        let text = with_odd_line_ends(text, id);
         if stream.write_all(text.as_bytes()).await.is_err() {
             return false;
         }
@@ -245,6 +250,16 @@
     }
 }
 
+/// The head as this worker sends it to the request `id`: of some requests in a form that
+/// only a lenient parser accepts.
+fn with_odd_line_ends(head: String, id: &str) -> String {
+    match u64::from_str_radix(id, 16).unwrap_or(0) % ODD_HEAD_PERIOD {
+        1 => format!("\r\n{head}"),
+        2 => head.replace("\r\n", "\n"),
+        _ => head,
+    }
+}
+
 /// The body of a plain answer to a request.
 pub fn plain_body(id: &str) -> String {
     format!("answer to {id}\n").repeat(8)
--- a/testbed/tests/hosted_soak.rs
+++ b/testbed/tests/hosted_soak.rs
@@ -1,11 +1,13 @@
 //! The soak of hosted routes: a short run over real processes violates no rule, and each
 //! rule detects its violation.
 
+use sorreldoor::proxy::http1::{parse_response_head, ReadBuffer};
 use testbed::hosted_soak::checks::{self, Evidence, Rule};
 use testbed::hosted_soak::plan::{key, Plan, MODEL_SERVICE, PAGE_SERVICE};
 use testbed::hosted_soak::records::{
     ChangeRecord, ChangeState, Disturbance, DisturbanceRecord, Ending, RequestRecord, RunRecord,
 };
+use testbed::hosted_soak::strict_head::syntax_fault;
 use testbed::hosted_soak::{run, SoakOptions};
 
 const SEED: u64 = 7;
@@ -126,6 +128,32 @@
     assert!(sample.violates(checks::whole_answers));
 }
 
+#[test]
+fn a_malformed_response_is_detected() {
+    let mut sample = sample("/page/1", PAGE_SERVICE);
+    sample.requests[0].ending = Ending::Malformed;
+    assert!(sample.violates(checks::whole_answers));
+}
+
+#[test]
+fn a_head_that_only_a_lenient_client_accepts_is_detected() {
+    let head_of = |text: &str| {
+        let mut buffer = ReadBuffer::default();
+        async_std::task::block_on(buffer.fill(&mut text.as_bytes())).unwrap();
+        parse_response_head(&mut buffer).unwrap().unwrap()
+    };
+    let strict = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+    assert_eq!(syntax_fault(&head_of(strict)), None);
+    for lenient in [
+        format!("\r\n{strict}"),
+        strict.replace("\r\n", "\n"),
+        strict.replacen("\r\n", "\n", 1),
+        strict.replace("200 OK", "200"),
+    ] {
+        assert!(syntax_fault(&head_of(&lenient)).is_some(), "{lenient:?}");
+    }
+}
+
 #[test]
 fn too_many_runs_of_a_request_are_detected() {
     let mut twice = sample("/tag/1", MODEL_SERVICE);
