Send a request during a shutdown only if it can be completed before the exit

What callers saw: an edge that got SIGTERM, and that one long request kept alive, read requests up to 7 s later, sent them to workers and cut them off at its exit.

Cause: nothing compared a request with the time left. Each request that had been read was sent until 1 s before the end of the grace period.

Fix: the balancer has the limits of the shutdown and checks them at each decision, through which all attempts go. A request is sent if its deadline, or the estimated response time of its route (RFC 6298, else of its service), ends in time; else it is rejected with 503 and Retry-After, or 502 if it may have run. Streams that arrive after the first 2.5 s need the deadline, as they could only be cut off. E106 and rejections_at_shutdown show what nothing showed before.

--- a/sorreldoor/src/balancer/decide.rs
+++ b/sorreldoor/src/balancer/decide.rs
@@ -120,6 +120,10 @@
         let Some(first) = self.next_service(request, route, 0.0) else {
             return self.reject(request, ErrorCode::NoWorker, now);
         };
+        if !self.completes_before_exit(request, route, first.service, now) {
+            self.counts.rejected_at_shutdown += 1;
+            return self.reject(request, ErrorCode::ShuttingDown, now);
+        }
         let entry = queue_entry(request_id, request, route, first.service);
         let untried = request.tried.is_empty();
         let may_wait = now < entry.wait_until;
--- a/sorreldoor/src/balancer/failover.rs
+++ b/sorreldoor/src/balancer/failover.rs
@@ -10,8 +10,8 @@
 
 impl Balancer {
     /// Whether a request in flight may be moved to another endpoint: its route and
-    /// progress, its number of attempts, the time left and the retry budget allow
-    /// it, another endpoint has capacity, and the current endpoint has sent nothing
+    /// progress, its number of attempts, the time left, a shutdown and the retry budget
+    /// allow it, another endpoint has capacity, and the current endpoint has sent nothing
     /// for `silence` milliseconds, for this or any other request. With `silence` 0
     /// the activity of the endpoint is not considered.
     pub fn may_fail_over(&mut self, request_id: RequestId, silence: Millis, now: Millis) -> bool {
@@ -52,7 +52,8 @@
             return false;
         };
         let service = endpoint.service;
-        self.allows_retry(service, now)
+        self.completes_before_exit(request, route, service, now)
+            && self.allows_retry(service, now)
             && self.find_candidates(request, route, now).1.best().is_some()
     }
 }
--- a/sorreldoor/src/balancer/feedback.rs
+++ b/sorreldoor/src/balancer/feedback.rs
@@ -93,6 +93,9 @@
             self.record_first_event(request_id, now);
             self.counts.served += 1;
         }
+        if status < 400 || status == GATEWAY_TIMEOUT {
+            self.record_response_time(request_id, attempt, now);
+        }
         match status {
             // the deadline may have been short, so this counts as slow, not as
             // failed
--- a/sorreldoor/src/balancer/mod.rs
+++ b/sorreldoor/src/balancer/mod.rs
@@ -25,11 +25,14 @@
 mod priority;
 mod registry;
 mod request_table;
+mod response_time;
 mod retry_budget;
 mod service;
+mod shutdown;
 mod state;
 mod wait_queue;
 
+pub use shutdown::ShutdownLimits;
 pub use state::{Balancer, Counts};
 
 use crate::error::ErrorCode;
--- a/sorreldoor/src/balancer/service.rs
+++ b/sorreldoor/src/balancer/service.rs
@@ -2,6 +2,7 @@
 
 use super::hash;
 use super::index::EndpointIndex;
+use super::response_time::ResponseTimeEstimator;
 use super::retry_budget::RetryBudget;
 use crate::types::Millis;
 
@@ -26,6 +27,8 @@
     pub prefill_ms_per_token: f64,
     /// Estimated time to the first event without prefill, in milliseconds.
     pub base_latency_ms: f64,
+    /// Of all responses, whatever their route.
+    pub response_time: ResponseTimeEstimator,
 }
 
 impl ServiceState {
@@ -40,6 +43,7 @@
             retry_budget: RetryBudget::new(budget_since),
             prefill_ms_per_token: INITIAL_PREFILL_MS_PER_TOKEN,
             base_latency_ms: INITIAL_BASE_LATENCY_MS,
+            response_time: ResponseTimeEstimator::default(),
         }
     }
 }
--- a/sorreldoor/src/balancer/state.rs
+++ b/sorreldoor/src/balancer/state.rs
@@ -6,7 +6,9 @@
 use super::priority::EnginePriorities;
 use super::registry::EndpointNames;
 use super::request_table::RequestTable;
+use super::response_time::RouteResponseTimes;
 use super::service::ServiceState;
+use super::shutdown::ShutdownLimits;
 use super::wait_queue::WaitQueue;
 use super::{Locality, SiteLimits};
 use crate::configuration::hosted::{Hosted, Service};
@@ -26,6 +28,8 @@
     pub served: u64,
     /// Decisions to send no (further) attempt.
     pub rejected: u64,
+    /// Those of them for requests that would not be completed before the node exits.
+    pub rejected_at_shutdown: u64,
     /// Requests rejected because no tenant has their key, or they had none.
     pub unauthenticated: u64,
     /// Requests rejected because their tenant's quota is used up.
@@ -73,6 +77,9 @@
     pub(super) endpoint_names: EndpointNames,
     pub(super) requests: RequestTable,
     pub(super) wait_queue: WaitQueue,
+    pub(super) route_response_times: RouteResponseTimes,
+    /// `None` while the node is not shutting down.
+    pub(super) shutdown: Option<ShutdownLimits>,
     /// Admission control for tenants with a quota.
     pub admission: Admission,
     pub(super) counts: Counts,
@@ -103,6 +110,8 @@
             endpoint_names: EndpointNames::default(),
             requests: RequestTable::default(),
             wait_queue: WaitQueue::default(),
+            route_response_times: RouteResponseTimes::default(),
+            shutdown: None,
             admission: Admission::default(),
             counts: Counts::default(),
         }
@@ -151,6 +160,7 @@
             self.services[*service].config_index = Some(config_index as u16);
         }
         self.count_pinned_streams(&hosted);
+        self.route_response_times.retain_configured(&hosted);
         self.engine_priorities = EnginePriorities::new(&hosted);
         self.hosted = Some(hosted);
         self.wait_queue.recheck_all();
--- a/sorreldoor/src/invariants.rs
+++ b/sorreldoor/src/invariants.rs
@@ -47,6 +47,8 @@
     Quota "quota";
     // A proxy that shuts down responds to the requests that it has read.
     GracefulDrain "graceful-drain";
+    // A proxy that shuts down sends a request only if it can be completed before the exit.
+    CompletedBeforeExit "completed-before-exit";
     // A proxy applies each configuration update that it receives.
     UpdatesApplied "updates-applied";
     // A home-bound request stays in its home region.
--- a/sorreldoor/src/log_events.rs
+++ b/sorreldoor/src/log_events.rs
@@ -56,6 +56,8 @@
         "if frequent, look for a starved or paused machine";
     QueueFull 105 Warn "an event queue between threads is full; its newest entry is dropped"
         "find the thread that falls behind: the disk may be stuck, or frames may arrive too fast";
+    RequestsCutOff 106 Warn "the grace period ended with requests in flight; their connections are closed"
+        "if frequent, give the node a longer grace period or the routes shorter timeouts";
     IdentityCreated 200 Info "node identity created and synced"
         "nothing; expected once per data folder";
     ClusterBootstrapped 201 Info "cluster bootstrapped"
--- a/sorreldoor/src/metrics/edge_metrics.rs
+++ b/sorreldoor/src/metrics/edge_metrics.rs
@@ -69,6 +69,11 @@
         "Decisions to send no (further) attempt.",
         |f| f.counts.rejected,
     ),
+    counter(
+        "rejections_at_shutdown",
+        "Rejections of requests that would not be completed before the node exits.",
+        |f| f.counts.rejected_at_shutdown,
+    ),
     counter(
         "requests_unauthenticated",
         "Requests rejected because no tenant holds their key, or they had none.",
--- a/sorreldoor/src/proxy/daemon.rs
+++ b/sorreldoor/src/proxy/daemon.rs
@@ -3,7 +3,7 @@
 
 use super::controller::{ControllerEffect, ControllerEvent, ProxyController};
 use super::dialect::Dialect;
-use super::drain::Drain;
+use super::drain::{Drain, DrainStatus};
 use super::listener::accept_connections;
 use super::shared_state::SharedState;
 use super::status_endpoint::{
@@ -18,6 +18,7 @@
 use crate::settings::Settings;
 use crate::start_error::{BindSnafu, SignalsSnafu, StartError};
 use crate::subscription::CoreSubscription;
+use crate::types::Millis;
 use async_std::future::timeout;
 use async_std::net::TcpListener;
 use async_std::task;
@@ -164,7 +165,7 @@
             }
         };
         if matches!(event, ControllerEvent::Stop) && drain.is_none() {
-            drain = Some(Drain::start(&shared, grace));
+            drain = Some(Drain::start(&shared, grace.as_millis() as Millis));
         }
         let effects = step(&shared, event);
         apply_effects(effects, &net, settings);
@@ -173,12 +174,20 @@
             evict_at = Instant::now() + EVICTION_INTERVAL;
             shared.connections.evict_expired();
         }
-        if drain.is_some_and(|d| d.advance(&shared)) {
+        let status = drain.map(|drain| drain.advance(&shared));
+        if let Some(DrainStatus::Ended { requests_cut_off }) = status {
+            log_requests_cut_off(requests_cut_off);
             return;
         }
     }
 }
 
+fn log_requests_cut_off(requests: usize) {
+    if requests > 0 {
+        log_event(LogEvent::RequestsCutOff, format!("{requests} requests"));
+    }
+}
+
 fn step<D: Dialect, C: Clock>(
     shared: &SharedState<D, C>,
     event: ControllerEvent,
--- a/sorreldoor/src/proxy/drain.rs
+++ b/sorreldoor/src/proxy/drain.rs
@@ -1,56 +1,84 @@
-//! Graceful shutdown: new connections are accepted until clients have newer endpoint
-//! lists, requests in flight are completed, and queued ones rejected in time for
-//! their responses to be sent.
+//! Graceful shutdown: new connections are accepted while clients still use older
+//! endpoint lists. Requests are served if they can be completed before the process
+//! exits, and rejected otherwise.
 
 use super::dialect::Dialect;
 use super::shared_state::SharedState;
+use crate::balancer::ShutdownLimits;
 use crate::invariants::{is_disabled, Invariant};
 use crate::runtime::Clock;
+use crate::types::Millis;
 use std::sync::atomic::Ordering;
-use std::time::{Duration, Instant};
 
-/// How long new connections are accepted after the signal to stop, while clients
-/// still use older endpoint lists.
-const ACCEPT_AFTER_STOP: Duration = Duration::from_millis(2500);
+/// How long idle connections are kept after the signal to stop, at most: most clients
+/// have newer endpoint lists by then.
+const KEEP_IDLE_MS: Millis = 2500;
 /// How long before the end of the grace period queued requests are rejected, while
 /// their responses can still be sent.
-const QUEUE_MARGIN: Duration = Duration::from_millis(1000);
+const QUEUE_MARGIN_MS: Millis = 1000;
+/// How long before the end of the grace period all responses must be complete.
+const RESPONSE_MARGIN_MS: Millis = 300;
 /// How long before the end of the grace period the process exits.
-const EXIT_MARGIN: Duration = Duration::from_millis(200);
+const EXIT_MARGIN_MS: Millis = 200;
 
-/// A shutdown in progress.
+/// The progress of a shutdown.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DrainStatus {
+    /// Connections are open, or new ones are accepted.
+    Draining,
+    /// The process may exit.
+    Ended {
+        /// Requests whose connections are closed without a complete response.
+        requests_cut_off: usize,
+    },
+}
+
+/// A shutdown in progress. All times are in milliseconds of the node's clock.
 #[derive(Clone, Copy, Debug)]
 pub struct Drain {
-    started_at: Instant,
-    /// From the signal to stop until the process must have exited.
-    grace: Duration,
+    idle_close_at: Millis,
+    queue_close_at: Millis,
+    exit_at: Millis,
 }
 
 impl Drain {
-    /// Starts the shutdown now.
-    pub fn start<D: Dialect, C: Clock>(shared: &SharedState<D, C>, grace: Duration) -> Drain {
-        shared.start_draining();
-        Drain {
-            started_at: Instant::now(),
-            grace,
-        }
+    /// Starts the shutdown now; the process must have exited after `grace_ms`.
+    pub fn start<D: Dialect, C: Clock>(shared: &SharedState<D, C>, grace_ms: Millis) -> Drain {
+        let now = shared.now();
+        let before_end = |margin_ms: Millis| now + grace_ms.saturating_sub(margin_ms);
+        let drain = Drain {
+            idle_close_at: now + KEEP_IDLE_MS.min(grace_ms / 2),
+            queue_close_at: before_end(QUEUE_MARGIN_MS),
+            exit_at: before_end(EXIT_MARGIN_MS),
+        };
+        shared.start_draining(ShutdownLimits {
+            arrivals_until: drain.idle_close_at,
+            responses_until: before_end(RESPONSE_MARGIN_MS),
+        });
+        drain
     }
 
-    /// Advances the shutdown; returns true once the process may exit.
-    pub fn advance<D: Dialect, C: Clock>(&self, shared: &SharedState<D, C>) -> bool {
+    /// Advances the shutdown. Must be called until it has ended.
+    pub fn advance<D: Dialect, C: Clock>(&self, shared: &SharedState<D, C>) -> DrainStatus {
+        let now = shared.now();
+        let requests = shared.requests_in_flight.load(Ordering::Relaxed);
+        let ended = DrainStatus::Ended {
+            requests_cut_off: requests,
+        };
         if is_disabled(Invariant::GracefulDrain) {
-            return true;
+            return ended;
         }
-        let elapsed = self.started_at.elapsed();
-        if elapsed + QUEUE_MARGIN >= self.grace {
+        if now >= self.queue_close_at {
             shared.close_queue();
         }
-        if elapsed < ACCEPT_AFTER_STOP.min(self.grace / 2) {
-            return false;
+        if now < self.idle_close_at {
+            return DrainStatus::Draining;
         }
         shared.close_idle_connections();
-        let idle = shared.requests_in_flight.load(Ordering::Relaxed) == 0
-            && shared.open_connections.load(Ordering::Relaxed) == 0;
-        idle || elapsed + EXIT_MARGIN >= self.grace
+        let idle = requests == 0 && shared.open_connections.load(Ordering::Relaxed) == 0;
+        match idle || now >= self.exit_at {
+            true => ended,
+            false => DrainStatus::Draining,
+        }
     }
 }
--- a/sorreldoor/src/proxy/mod.rs
+++ b/sorreldoor/src/proxy/mod.rs
@@ -28,6 +28,7 @@
 pub use controller::{ControllerEffect, ControllerEvent, ProxyController, ReadyEdge};
 pub use daemon::{run, ProxyOptions};
 pub use dialect::{Dialect, ForwardHeaders, PromptSegment, RequestMetadata, ResponseMetadata};
+pub use drain::{Drain, DrainStatus};
 pub use listener::accept_connections;
 pub use plain_dialect::PlainDialect;
 pub use shared_state::SharedState;
--- a/sorreldoor/src/proxy/shared_state.rs
+++ b/sorreldoor/src/proxy/shared_state.rs
@@ -3,7 +3,7 @@
 use super::controller::ProxyController;
 use super::dialect::Dialect;
 use super::upstream::ConnectionPool;
-use crate::balancer::RequestId;
+use crate::balancer::{RequestId, ShutdownLimits};
 use crate::runtime::Clock;
 use crate::types::Millis;
 use async_std::channel::{bounded, Receiver, Sender};
@@ -102,9 +102,12 @@
         self.draining.load(Ordering::Relaxed)
     }
 
-    /// From now on, connections are closed after their next response.
-    pub fn start_draining(&self) {
+    /// From now on, connections are closed after their next response, and requests are
+    /// sent to workers only if they can be completed within the limits.
+    pub fn start_draining(&self, limits: ShutdownLimits) {
         self.draining.store(true, Ordering::Relaxed);
+        self.lock().balancer.start_shutdown(limits);
+        self.wake_queued();
     }
 
     /// Whether queued requests are rejected.
--- a/sorreldoor/tests/balancer.rs
+++ b/sorreldoor/tests/balancer.rs
@@ -1,7 +1,8 @@
 //! The load balancer: single mechanisms, and simulations of many nodes.
 
 use sorreldoor::balancer::{
-    AttemptOutcome, Balancer, Decision, LoadReport, Locality, RequestId, SiteLimits, Target,
+    AttemptOutcome, Balancer, Decision, LoadReport, Locality, RequestId, ShutdownLimits,
+    SiteLimits, Target,
 };
 use sorreldoor::configuration::hosted::{Engine, Hosted, Kind, Route, Service};
 use sorreldoor::discovery::{Worker, WorkerRegistry};
@@ -21,6 +22,8 @@
 mod nodes;
 #[path = "balancer/quotas.rs"]
 mod quotas;
+#[path = "balancer/shutdown.rs"]
+mod shutdown;
 #[path = "balancer/simulation.rs"]
 mod simulation;
 #[path = "balancer/tenants.rs"]
--- a/sorreldoor/tests/proxy.rs
+++ b/sorreldoor/tests/proxy.rs
@@ -8,6 +8,8 @@
 mod keep_alive;
 #[path = "proxy/response_syntax.rs"]
 mod response_syntax;
+#[path = "proxy/shutdown.rs"]
+mod shutdown;
 #[path = "proxy/streams.rs"]
 mod streams;
 #[path = "proxy/tenants.rs"]
--- a/sorreldoor/tests/proxy/harness.rs
+++ b/sorreldoor/tests/proxy/harness.rs
@@ -38,6 +38,8 @@
 pub enum Behavior {
     /// Respond completely with this status and body, and keep the connection open.
     Complete(u16, &'static str),
+    /// Respond completely after this many milliseconds of work.
+    CompleteAfter(u64, &'static str),
     /// Respond completely, then close the connection.
     CompleteThenClose(&'static str),
     /// Respond with the id of another request.
@@ -170,6 +172,10 @@
     };
     let (text, keep_alive) = match behavior {
         Behavior::Complete(s, b) => (complete(s, b, ""), true),
+        Behavior::CompleteAfter(work_ms, b) => {
+            task::sleep(Duration::from_millis(work_ms)).await;
+            (complete(200, b, ""), true)
+        }
         Behavior::CompleteThenClose(b) => (complete(200, b, "connection: close\r\n"), false),
         Behavior::WrongRequestId => (complete(200, "theirs", "").replace(id, "another"), true),
         Behavior::Unstamped => (
@@ -233,6 +239,7 @@
  "services":[{"name":"web","health":"/h","max_conns":100}],
  "limits":{"header_bytes":2000,"body_bytes":100000,"header_ms":300,"idle_ms":2000}}}"#;
 
+#[derive(Clone)]
 pub struct Proxy {
     pub addr: SocketAddr,
     pub shared: Arc<SharedState<PlainDialect, OffsetClock>>,
