Answer requests in flight at the end of a shutdown with an error

What callers saw: a request that outlived the grace period of a stopping edge ended with a closed connection, like a crash.

Cause: the process exited with its connections open. Since requests may now be begun on an estimate of their response time, one that is exceeded would end the same way.

After the first byte of a response the connection is closed as before.

Ruled out: a deadline for requests that begin during the drain (does not reach those from before it); 503 for all (it promises that nothing has run).

--- a/sorreldoor/src/proxy/client.rs
+++ b/sorreldoor/src/proxy/client.rs
@@ -19,6 +19,8 @@
     pub buffer: ReadBuffer,
     /// Whether the connection is closed after the next response, which says so.
     pub close_after_response: bool,
+    /// Whether any part of the response to the current request may have been written.
+    pub response_started: bool,
     /// Whether the client uses HTTP/1.0, which has no chunked coding.
     pub http10: bool,
 }
@@ -30,12 +32,14 @@
             stream,
             buffer: ReadBuffer::default(),
             close_after_response: false,
+            response_started: false,
             http10: false,
         }
     }
 
     /// Writes all bytes; false if the client has disconnected.
     pub async fn write(&mut self, bytes: &[u8]) -> bool {
+        self.response_started = true;
         self.stream.write_all(bytes).await.is_ok()
     }
 
--- a/sorreldoor/src/proxy/drain.rs
+++ b/sorreldoor/src/proxy/drain.rs
@@ -1,6 +1,6 @@
 //! Graceful shutdown: new connections are accepted while clients still use older
 //! endpoint lists. Requests are served if they can be completed before the process
-//! exits, and rejected otherwise.
+//! exits, and rejected otherwise; those in flight at its end get an error response.
 
 use super::dialect::Dialect;
 use super::shared_state::SharedState;
@@ -38,6 +38,7 @@
 pub struct Drain {
     idle_close_at: Millis,
     queue_close_at: Millis,
+    responses_until: Millis,
     exit_at: Millis,
 }
 
@@ -49,11 +50,12 @@
         let drain = Drain {
             idle_close_at: now + KEEP_IDLE_MS.min(grace_ms / 2),
             queue_close_at: before_end(QUEUE_MARGIN_MS),
+            responses_until: before_end(RESPONSE_MARGIN_MS),
             exit_at: before_end(EXIT_MARGIN_MS),
         };
         shared.start_draining(ShutdownLimits {
             arrivals_until: drain.idle_close_at,
-            responses_until: before_end(RESPONSE_MARGIN_MS),
+            responses_until: drain.responses_until,
         });
         drain
     }
@@ -71,6 +73,9 @@
         if now >= self.queue_close_at {
             shared.close_queue();
         }
+        if now >= self.responses_until {
+            shared.end_requests();
+        }
         if now < self.idle_close_at {
             return DrainStatus::Draining;
         }
--- a/sorreldoor/src/proxy/forward_request.rs
+++ b/sorreldoor/src/proxy/forward_request.rs
@@ -56,9 +56,18 @@
             route: &route,
             deadline: placement.deadline,
         };
-        match run_attempt(&attempt, client, &mut delivery).await {
-            AttemptResult::Finished { keep_alive } => return keep_alive,
-            AttemptResult::Ended => {}
+        let attempted = async { Some(run_attempt(&attempt, client, &mut delivery).await) };
+        let interrupted = async {
+            shared.requests_must_end().await;
+            None
+        };
+        match or(attempted, interrupted).await {
+            Some(AttemptResult::Finished { keep_alive }) => return keep_alive,
+            Some(AttemptResult::Ended) => {}
+            // an error response would follow part of another response
+            None if client.response_started => return false,
+            // no more attempts are made, so the next decision is a rejection
+            None => {}
         }
     }
 }
--- a/sorreldoor/src/proxy/serve_connection.rs
+++ b/sorreldoor/src/proxy/serve_connection.rs
@@ -38,6 +38,7 @@
         };
         client.http10 = head.minor_version == 0;
         client.close_after_response = head.closes_connection();
+        client.response_started = false;
         shared.requests_in_flight.fetch_add(1, Ordering::Relaxed);
         let keep_alive = serve_request(&shared, &mut client, head, body).await;
         shared.requests_in_flight.fetch_sub(1, Ordering::Relaxed);
--- a/sorreldoor/src/proxy/shared_state.rs
+++ b/sorreldoor/src/proxy/shared_state.rs
@@ -31,6 +31,8 @@
     pub(super) requests_in_flight: AtomicUsize,
     /// A channel that is closed once idle client connections must end.
     idle_close: (Sender<()>, Receiver<()>),
+    /// A channel that is closed once requests in flight must end.
+    requests_end: (Sender<()>, Receiver<()>),
 }
 
 impl<D: Dialect, C: Clock> SharedState<D, C> {
@@ -54,6 +56,7 @@
             open_connections: AtomicUsize::new(0),
             requests_in_flight: AtomicUsize::new(0),
             idle_close: bounded(1),
+            requests_end: bounded(1),
         }
     }
 
@@ -135,6 +138,17 @@
         let _ = self.idle_close.1.recv().await;
     }
 
+    /// Ends requests in flight: those without any part of a response get an error
+    /// response.
+    pub fn end_requests(&self) {
+        self.requests_end.0.close();
+    }
+
+    /// Resolves once requests in flight must end.
+    pub async fn requests_must_end(&self) {
+        let _ = self.requests_end.1.recv().await;
+    }
+
     /// The address to connect to for an announced one.
     pub fn connect_address(&self, announced: SocketAddr) -> SocketAddr {
         self.address_overrides
--- a/sorreldoor/tests/proxy/shutdown.rs
+++ b/sorreldoor/tests/proxy/shutdown.rs
@@ -1,5 +1,5 @@
-//! Requests that meet a shutdown: those that arrive late, or follow others on a
-//! connection.
+//! Requests that meet a shutdown: those that arrive late, follow others on a connection,
+//! or are in flight at its end.
 
 use super::harness::*;
 use async_std::io::WriteExt;
@@ -146,3 +146,45 @@
         assert_eq!((statuses, cut_off), ([Some(200); 3], 0));
     });
 }
+
+/// A proxy whose requests have no deadline before the end of the grace period.
+async fn proxy_with_long_timeouts(worker: &StubWorker) -> Proxy {
+    let configuration = CONFIGURATION.replace("\"timeout_ms\":3000", "\"timeout_ms\":30000");
+    start_proxy_with(&configuration, &[worker]).await
+}
+
+// At the end of the grace period, the connections of requests in flight were closed
+// without a response.
+#[test]
+fn requests_in_flight_at_the_end_of_a_shutdown_get_an_error_response() {
+    block_on_test(async {
+        let worker = start_stub_worker(vec![Behavior::Silent]).await;
+        let proxy = proxy_with_long_timeouts(&worker).await;
+        let requests = LATE_PATHS.map(|path| {
+            let proxy = proxy.clone();
+            task::spawn(async move { send_new(&proxy, path, "").await })
+        });
+        wait_for_requests(&worker, requests.len()).await;
+        assert_eq!(shut_down(&proxy).await, 0);
+        for request in requests {
+            let response = request.await.expect("the request is answered");
+            assert_eq!((response.status, response.complete), (502, true));
+        }
+    });
+}
+
+// Within a stream, an error response would be taken for its events.
+#[test]
+fn a_stream_in_flight_at_the_end_of_a_shutdown_is_visibly_incomplete() {
+    block_on_test(async {
+        let worker = start_stub_worker(vec![Behavior::Stall(1, 2)]).await;
+        let proxy = proxy_with_long_timeouts(&worker).await;
+        let proxy_of_client = proxy.clone();
+        let stream = task::spawn(async move { send_new(&proxy_of_client, "/say/1", "").await });
+        wait_for_requests(&worker, 1).await;
+        assert_eq!(shut_down(&proxy).await, 0);
+        let response = stream.await.expect("the head and two events");
+        assert_eq!((response.status, response.complete), (200, false));
+        assert_eq!(response.body, event_series(1, 2));
+    });
+}
