Soak: clients with old endpoint lists, and requests with up to 3.5 s of work

A third of the clients now open each connection at any edge, ready or not, and ask for work of up to 3.5 s.

--- a/testbed/src/hosted_soak/clients.rs
+++ b/testbed/src/hosted_soak/clients.rs
@@ -5,7 +5,7 @@
 use super::processes::{ProcessFleet, ProcessRole};
 use super::records::{Ending, Records, RequestRecord};
 use super::strict_head::syntax_fault;
-use super::workers::{event, plain_body, stream_request};
+use super::workers::{event, plain_body, stream_request, work_request};
 use crate::rand::Rand;
 use crate::sync::lock;
 use async_std::future::timeout;
@@ -23,6 +23,8 @@
 /// How long a client waits for a response: the stated deadline and a margin.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(DEADLINE_MS + 1500);
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// The longest work of a request, below the deadline.
+const MAX_WORK_MS: u64 = 3500;
 
 /// How a client sends its requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -35,13 +37,18 @@
     Streaming,
     /// Sends each body in two parts, with a pause between them.
     Uploading,
+    /// Sends requests with much work, each on a new connection to any edge, as with an
+    /// old endpoint list.
+    Outdated,
 }
 
-const HABITS: [Habit; 4] = [
+const HABITS: [Habit; 6] = [
     Habit::Busy,
     Habit::Resting,
+    Habit::Outdated,
     Habit::Streaming,
     Habit::Uploading,
+    Habit::Outdated,
 ];
 
 /// One request before it is sent.
@@ -93,7 +100,8 @@
             };
             let draft = self.draft();
             let (record, head) = self.exchange(&mut connection, &draft).await;
-            let kept = matches!(record.ending, Ending::Answered { .. });
+            let answered = matches!(record.ending, Ending::Answered { .. });
+            let kept = answered && self.habit != Habit::Outdated;
             lock(&self.records.requests).push(record);
             let closes = head.as_ref().is_none_or(Head::closes_connection);
             if kept && !closes {
@@ -103,14 +111,15 @@
         }
     }
 
-    /// The kept connection, or a new one to a random edge if that is ready.
+    /// The kept connection, or a new one to a random edge. Only an outdated client connects
+    /// to an edge that is not ready.
     async fn connected(&mut self) -> Option<Connection> {
         if let Some(connection) = self.connection.take() {
             return Some(connection);
         }
         let edges: Vec<_> = self.fleet.with_role(ProcessRole::Edge).collect();
         let edge = edges[self.random.below(edges.len() as u64) as usize];
-        if !is_ready(edge.ready_addr()).await {
+        if self.habit != Habit::Outdated && !is_ready(edge.ready_addr()).await {
             return None;
         }
         let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(edge.edge_addr())).await;
@@ -157,6 +166,7 @@
         let events = streams.then(|| 3 + self.random.below(40));
         let body = match events {
             Some(events) => stream_request(events),
+            None if self.habit == Habit::Outdated => work_request(self.random.below(MAX_WORK_MS)),
             None => "x".repeat(self.random.below(20_000) as usize),
         };
         Draft {
@@ -245,7 +255,7 @@
             return sleep(Duration::from_secs_f64(seconds.min(2.0))).await;
         }
         let limit = match self.habit {
-            Habit::Busy | Habit::Streaming => 10,
+            Habit::Busy | Habit::Streaming | Habit::Outdated => 10,
             Habit::Uploading => 100,
             Habit::Resting => IDLE_MS * 4 / 5,
         };
--- a/testbed/src/hosted_soak/workers.rs
+++ b/testbed/src/hosted_soak/workers.rs
@@ -20,9 +20,10 @@
 const MAX_BODY_BYTES: usize = 1 << 22;
 /// The text that every API key contains (see `plan::key`).
 pub const KEY_MARK: &str = "secret-";
-/// Time between two events of a stream, and duration of a plain request.
+/// Time between two events of a stream.
 const EVENT_INTERVAL_MS: u64 = 30;
-const WORK_MS: u64 = 15;
+/// Duration of a plain request that does not ask for another.
+const DEFAULT_WORK_MS: u64 = 15;
 /// One in this many responses follows a surplus empty line, and as many have a head whose
 /// lines end with LF alone.
 const ODD_HEAD_PERIOD: u64 = 16;
@@ -162,7 +163,10 @@
                 self.stream(stream, head, &identity, &attempt_id, count)
                     .await
             }
-            None => self.respond(stream, &identity, &attempt_id).await,
+            None => {
+                let work_ms = requested_work_ms(body).unwrap_or(DEFAULT_WORK_MS);
+                self.respond(stream, &identity, &attempt_id, work_ms).await
+            }
         };
         if !self.is_current(&identity) {
             lock(&self.records.runs)[run].crashed = true;
@@ -189,8 +193,14 @@
         runs.len() - 1
     }
 
-    async fn respond(&self, stream: &mut TcpStream, identity: &Identity, id: &str) -> bool {
-        task::sleep(Duration::from_millis(WORK_MS)).await;
+    async fn respond(
+        &self,
+        stream: &mut TcpStream,
+        identity: &Identity,
+        id: &str,
+        work_ms: u64,
+    ) -> bool {
+        task::sleep(Duration::from_millis(work_ms)).await;
         if !self.is_current(identity) {
             return false;
         }
@@ -280,6 +290,16 @@
     text.strip_prefix("events=")?.parse().ok()
 }
 
+/// The body of a plain request that takes this many milliseconds.
+pub fn work_request(work_ms: u64) -> String {
+    format!("work_ms={work_ms}")
+}
+
+fn requested_work_ms(body: &[u8]) -> Option<u64> {
+    let text = std::str::from_utf8(body).ok()?;
+    text.strip_prefix("work_ms=")?.parse().ok()
+}
+
 /// Starts the provider, which lists these workers to the platform; returns its address.
 ///
 /// # Errors
