--- a/sorreldoor/src/configuration/parse.rs
+++ b/sorreldoor/src/configuration/parse.rs
@@ -1,4 +1,5 @@
-//! Parsing and validation of a configuration document.
+//! Parsing and validation of a configuration document. The result is the complete
+//! configuration, or a list of all faults.
 
 use super::{hosted_parse, Configuration, Group, Kind, Route, Service, Share, Site, SlowStart};
 use crate::json::{self, join, Faults, ObjectReader, Value};
--- a/sorreldoor/src/control_plane/idempotency/event.rs
+++ b/sorreldoor/src/control_plane/idempotency/event.rs
@@ -127,7 +127,7 @@
     GrantOwnVote(VoteId),
     /// Vote from now on.
     FinishCatchUp,
-    /// Nothing.
+    /// Nothing: the save concerns this core alone.
     Nothing,
 }
 
--- a/sorreldoor/src/gateway/request_table/expiry.rs
+++ b/sorreldoor/src/gateway/request_table/expiry.rs
@@ -25,7 +25,8 @@
     }
 
     /// Least time in milliseconds that a waiting request still needs: half the
-    /// average latency of its route; 0 once it has left the queue.
+    /// average latency of its route, as it would otherwise wait for a turn that comes
+    /// too late; 0 once it has left the queue.
     fn time_needed(&self, request: &Request) -> Millis {
         if request.stage != Stage::Waiting {
             return 0;
--- a/sorreldoor/src/placement.rs
+++ b/sorreldoor/src/placement.rs
@@ -211,7 +211,8 @@
 /// The slots of all warming workers are assigned round-robin over the edges in
 /// order of their names: the slots of each worker begin after those of the
 /// workers before it, at position `start`. Each edge thus gets a slot if there
-/// are as many slots as edges.
+/// are as many slots as edges; with an independent order for each worker, some
+/// edges would get none.
 pub fn edge_rank(edges: &[String], node: &str, start: u64) -> usize {
     let ring = edges.len().max(1) as u64;
     let position = edges.iter().filter(|edge| edge.as_str() < node).count() as u64;
--- a/sorreldoor/src/proxy/upstream/event_stream.rs
+++ b/sorreldoor/src/proxy/upstream/event_stream.rs
@@ -60,7 +60,8 @@
         let event = &received[start..start + length];
         let id = event_id(event);
         start += length;
-        // a worker may resume from an older event than requested
+        // a worker may resume from an older event than requested; the client must not
+        // get an event twice
         let duplicate = id.is_some_and(|id| delivered.is_some_and(|last| id <= last));
         if duplicate {
             continue;
