--- a/sorreldoor/src/proxy/controller.rs
+++ b/sorreldoor/src/proxy/controller.rs
@@ -1,6 +1,7 @@
 //! Control loop of a proxy node, a pure reducer: subscribes to a core, applies
 //! replicated state to the balancer, and reports readiness and usage.
 
+use super::ready_edge::ReadyEdge;
 use super::usage_reporter::UsageReporter;
 use crate::balancer::Balancer;
 use crate::configuration::hosted::Hosted;
@@ -47,38 +48,6 @@
     Log(LogEvent, String),
 }
 
-/// A ready edge, as clients are given its address.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct ReadyEdge {
-    /// Name of the node.
-    pub node: String,
-    /// `IP:PORT` of its listener for clients.
-    pub addr: String,
-    /// Index of its zone.
-    pub zone: u16,
-    /// Index of its region.
-    pub region: u8,
-}
-
-impl ReadyEdge {
-    /// The ready edges among `endpoints`.
-    pub fn from_endpoints(endpoints: &[EdgeEndpoint]) -> Vec<ReadyEdge> {
-        let ready = endpoints.iter().filter(|e| e.ready);
-        ready.map(ReadyEdge::from).collect()
-    }
-}
-
-impl From<&EdgeEndpoint> for ReadyEdge {
-    fn from(endpoint: &EdgeEndpoint) -> ReadyEdge {
-        ReadyEdge {
-            node: endpoint.node.clone(),
-            addr: endpoint.http.clone(),
-            zone: endpoint.zone,
-            region: endpoint.region,
-        }
-    }
-}
-
 /// The controller of a proxy node, owned and driven by its daemon.
 pub struct ProxyController {
     identity: Hello,
--- a/sorreldoor/src/proxy/mod.rs
+++ b/sorreldoor/src/proxy/mod.rs
@@ -16,6 +16,7 @@
 pub mod http1;
 mod listener;
 mod plain_dialect;
+mod ready_edge;
 mod request_reader;
 pub mod request_state;
 mod response_writer;
@@ -25,12 +26,13 @@
 mod upstream;
 mod usage_reporter;
 
-pub use controller::{ControllerEffect, ControllerEvent, ProxyController, ReadyEdge};
+pub use controller::{ControllerEffect, ControllerEvent, ProxyController};
 pub use daemon::{run, ProxyOptions};
 pub use dialect::{Dialect, ForwardHeaders, PromptSegment, RequestMetadata, ResponseMetadata};
 pub use drain::{Drain, DrainStatus};
 pub use listener::accept_connections;
 pub use plain_dialect::PlainDialect;
+pub use ready_edge::ReadyEdge;
 pub use shared_state::SharedState;
 pub use status_endpoint::{
     serve_status_endpoint, NodeStatus, RequestHandler, StatusEndpoint, StatusHandler,
--- a/sorreldoor/src/proxy/status_endpoint.rs
+++ b/sorreldoor/src/proxy/status_endpoint.rs
@@ -1,8 +1,8 @@
 //! HTTP endpoints with JSON documents on the status of the node, on listeners of
 //! their own.
 
-use super::controller::ReadyEdge;
 use super::http1::{parse_request_head, read_body, Framing, Head, ReadBuffer};
+use super::ready_edge::ReadyEdge;
 use async_std::future::timeout;
 use async_std::io::prelude::WriteExt;
 use async_std::net::{TcpListener, TcpStream};
