--- a/testbed/tests/tenants.rs
+++ b/testbed/tests/balancer_invariants.rs
@@ -1,9 +1,10 @@
-//! The invariants of tenants: each check holds, and fails once its mechanism is
-//! switched off.
+//! Invariants of the balancer: each check holds, and fails once its mechanism is switched
+//! off.
 
-use sorreldoor::balancer::{Balancer, Locality, SiteLimits};
+use sorreldoor::balancer::{Balancer, Decision, Locality, ShutdownLimits, SiteLimits};
 use sorreldoor::configuration::tenants::ApiKey;
 use sorreldoor::configuration::{self, Site};
+use sorreldoor::discovery::{Worker, WorkerRegistry};
 use sorreldoor::invariants::{disable_only, Invariant};
 use sorreldoor::proxy::{Dialect, PlainDialect, RequestMetadata};
 use sorreldoor::quota::{AdmissionShare, AdmissionUpdate};
@@ -72,12 +73,45 @@
     begun(&mut balancer, "k1") == 0
 }
 
+/// Whether a node that exits in two seconds keeps a request with a timeout of three
+/// seconds from its worker.
+fn unfinished_requests_are_not_sent() -> bool {
+    let mut balancer = balancer();
+    let worker = Worker {
+        name: "w1".into(),
+        addr: "127.0.0.1:80".parse().expect("an address"),
+        group: "web".into(),
+        slots: 8,
+        ..Worker::blank()
+    };
+    let registry = WorkerRegistry {
+        version: 1,
+        workers: vec![worker],
+    };
+    balancer.update_registry(&registry, 0);
+    balancer.start_shutdown(ShutdownLimits {
+        arrivals_until: 10,
+        responses_until: 2000,
+    });
+    let metadata = RequestMetadata {
+        api_key: Some(ApiKey::new("k1")),
+        ..RequestMetadata::default()
+    };
+    let request = balancer.begin("h", "/get/1", metadata, 10, 10);
+    let decision = balancer.decide(request.expect("the key is known"), 10);
+    !matches!(decision, Decision::Send(_))
+}
+
 #[test]
 fn each_check_notices_that_its_mechanism_is_off() {
-    let checks: [(Invariant, Check); 3] = [
+    let checks: [(Invariant, Check); 4] = [
         (Invariant::Authenticated, unknown_keys_do_not_begin),
         (Invariant::KeyWithheld, keys_are_withheld),
         (Invariant::Quota, quotas_are_kept),
+        (
+            Invariant::CompletedBeforeExit,
+            unfinished_requests_are_not_sent,
+        ),
     ];
     for (invariant, holds) in checks {
         assert!(holds(), "{}", invariant.name());
