--- a/testbed/src/hosted_soak/clients.rs
+++ b/testbed/src/hosted_soak/clients.rs
@@ -4,16 +4,16 @@
 use super::plan::{key, RouteKind, HOST, IDLE_MS};
 use super::processes::{ProcessFleet, ProcessRole};
 use super::records::{Ending, Records, RequestRecord};
-use super::strict_head::syntax_fault;
-use super::workers::{event, plain_body, stream_request, work_request};
+use super::response_reader::{read_head, read_response};
+use super::workers::{stream_request, work_request};
 use crate::rand::Rand;
 use crate::sync::lock;
 use async_std::future::timeout;
 use async_std::net::TcpStream;
 use async_std::prelude::*;
 use async_std::task::sleep;
-use platform::dialect::{ATTEMPT, DEADLINE, SEAL};
-use sorreldoor::proxy::http1::{parse_response_head, BodyDecoder, Head, ReadBuffer};
+use platform::dialect::{ATTEMPT, DEADLINE};
+use sorreldoor::proxy::http1::{Head, ReadBuffer};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -205,7 +205,8 @@
         let (ending, answer_head) = match sent {
             false => (Ending::NotSent, None),
             true => {
-                let answer = read_answer(connection, &attempt_id, draft);
+                let Connection { stream, buffer, .. } = connection;
+                let answer = read_response(stream, buffer, &attempt_id, draft.events);
                 match timeout(RESPONSE_TIMEOUT, answer).await {
                     Err(_) => (Ending::TimedOut, None),
                     Ok(Err(ending)) => (ending, None),
@@ -275,70 +276,3 @@
     let head = timeout(CONNECT_TIMEOUT, check).await.ok().flatten();
     head.is_some_and(|head| head.status == 200)
 }
-
-/// Reads one head.
-///
-/// # Errors
-/// [`Ending::Closed`] or [`Ending::Malformed`].
-async fn read_head(stream: &mut TcpStream, buffer: &mut ReadBuffer) -> Result<Head, Ending> {
-    loop {
-        if let Some(head) = parse_response_head(buffer).map_err(|_| Ending::Malformed)? {
-            return Ok(head);
-        }
-        if !matches!(buffer.fill(stream).await, Ok(count) if count > 0) {
-            return Err(Ending::Closed);
-        }
-    }
-}
-
-/// Reads one response, with what is wrong with it, if anything.
-///
-/// # Errors
-/// [`Ending::Closed`] if the connection ends before the response does, and
-/// [`Ending::Malformed`].
-async fn read_answer(
-    connection: &mut Connection,
-    attempt_id: &str,
-    draft: &Draft,
-) -> Result<(Head, Option<String>), Ending> {
-    let Connection { stream, buffer, .. } = connection;
-    let head = read_head(stream, buffer).await?;
-    let framing = head.response_framing("POST");
-    let mut decoder = BodyDecoder::new(framing.map_err(|_| Ending::Malformed)?);
-    let mut body = Vec::new();
-    while !decoder
-        .decode(buffer, &mut body)
-        .map_err(|_| Ending::Malformed)?
-    {
-        if !matches!(buffer.fill(stream).await, Ok(count) if count > 0) {
-            return Err(Ending::Closed);
-        }
-    }
-    let fault = syntax_fault(&head).or_else(|| fault_of(&head, &body, attempt_id, draft));
-    Ok((head, fault))
-}
-
-/// What is wrong with a success: it must be a complete response of a worker to this
-/// request.
-fn fault_of(head: &Head, body: &[u8], attempt_id: &str, draft: &Draft) -> Option<String> {
-    if head.status != 200 {
-        return None;
-    }
-    let sealed = head
-        .get(SEAL)
-        .is_some_and(|seal| seal.ends_with(attempt_id));
-    if !sealed || head.get(ATTEMPT) != Some(attempt_id) {
-        return Some("status 200 without the headers that the worker sets".into());
-    }
-    let expected = match draft.events {
-        Some(count) => (1..=count).map(|n| event(attempt_id, n)).collect(),
-        None => plain_body(attempt_id),
-    };
-    if body == expected.as_bytes() {
-        return None;
-    }
-    let body = String::from_utf8_lossy(body);
-    let end: String = body.chars().rev().take(60).collect();
-    let end: String = end.chars().rev().collect();
-    Some(format!("{} bytes, ending in {end:?}", body.len()))
-}
--- a/testbed/src/hosted_soak/mod.rs
+++ b/testbed/src/hosted_soak/mod.rs
@@ -14,6 +14,7 @@
 mod processes;
 pub mod records;
 mod report;
+mod response_reader;
 pub mod strict_head;
 mod workers;
 
