--- a/review/5/main.rs
+++ b/review/5/main.rs
@@ -1,5 +1,5 @@
-//! Case 5: a configuration that grew by an acknowledged edit to just under the largest
-//! size cannot be read back by any core once their processes were killed.
+//! Case 5: a configuration that grew by acknowledged edits to just under the largest size
+//! cannot be read back from any core once their processes were killed.
 #[path = "../stand-ins-2/lib.rs"]
 mod lib;
 
@@ -12,6 +12,10 @@
 const LARGEST: usize = 4 << 20;
 /// How far below it the edit leaves the configuration, in the system's own count.
 const BELOW: usize = 16;
+/// Routes added at a time: the largest `count` of `big_config` on the pages' sites.
+const STEP: usize = 1600;
+/// Further steps that the operator tries.
+const REFUSED: usize = 30;
 /// `recoverS` of the site.
 const RECOVER_S: u64 = 12;
 
@@ -46,44 +50,64 @@
     let service = r#"{"health":"/healthz","max_conns":130,"name":"pages","proto":"h1","tls":false}"#;
     let rest = r#"{"limits":{"body_bytes":4194304,"header_bytes":16384,"header_ms":3000,"idle_ms":15000}}"#;
     let mut stored = 2 + rest.len() + service.len() + 1;
+    // the operator adds routes in steps; the last one brings the configuration, as the
+    // system counts it, to BELOW bytes below the limit
+    let mut steps: Vec<Vec<String>> = vec![Vec::new()];
     let mut number = 0;
-    let mut until = |limit: usize| {
-        let mut routes = Vec::new();
-        while stored + 400 < limit {
-            let (sent, length) = route(number, 0);
-            routes.push(sent);
-            stored += length + 1;
-            number += 1;
+    loop {
+        let (sent, length) = route(number, 0);
+        // the last route has at least this much room, for a longer name
+        let last = stored + 2 * (length + 1) > LARGEST - BELOW;
+        let (sent, length) = if last { route(number, LARGEST - BELOW - stored - length - 1) } else { (sent, length) };
+        stored += length + 1;
+        number += 1;
+        if steps.last().is_some_and(|step| step.len() == STEP) {
+            steps.push(Vec::new());
         }
-        routes
-    };
-    let first = until(1_500_000);
-    let mut second = until(LARGEST);
-    // the last route's name makes up the rest
-    let (_, shortest) = route(number, 0);
-    let pad = LARGEST - BELOW - stored - shortest - 1;
-    second.push(route(number, pad).0);
+        steps.last_mut().unwrap().push(sent);
+        if last {
+            break;
+        }
+    }
+    let more: Vec<String> = (number..number + STEP).map(|n| route(n, 0).0).collect();
     let configuration = format!(
         "{{\"ver\":1,\"routes\":[{}],\"svcs\":[{{\"name\":\"pages\",\"hcPath\":\"/healthz\",\"maxconn\":130,\"proto\":\"h1\",\"tls\":false}}],\"lim\":{{\"hdrBytes\":16384,\"bodyBytes\":4194304,\"hdrMs\":3000,\"idleMs\":15000}}}}",
-        first.join(",")
+        steps[0].join(",")
     );
-    record.say(format!("{} routes in {} bytes, then an edit of {} routes in {} bytes", first.len(), configuration.len(), second.len(), second.join(",").len()));
+    record.say(format!("{number} routes in {} steps of at most {STEP}", steps.len()));
     let json = ("Content-Type", "application/json");
     if d.order(&[0, 1, 2], "/api/config/replace", &[("Sorreldoor-Base-Version", "0"), json], &configuration) != 200 {
         record.say("the first configuration was not taken");
         d.end(2);
     }
     d.wait_until_ready();
-    let edit = format!("{{\"ver\":2,\"upsert\":{{\"routes\":[{}]}}}}", second.join(","));
-    if d.order(&[1, 2, 0], "/api/config/edit", &[("Sorreldoor-Base-Version", "1"), json], &edit) != 200 {
-        record.say("the edit was not taken");
-        d.end(2);
+    let mut version = 1;
+    let edit = |routes: &[String], base: u64| {
+        let body = format!("{{\"ver\":{},\"upsert\":{{\"routes\":[{}]}}}}", base + 1, routes.join(","));
+        let base = base.to_string();
+        d.order(&[1, 2, 0], "/api/config/edit", &[("Sorreldoor-Base-Version", base.as_str()), json], &body)
+    };
+    for step in &steps[1..] {
+        if edit(step, version) != 200 {
+            record.say("a step was not taken");
+            d.end(2);
+        }
+        version += 1;
+        sleep(Duration::from_millis(100));
+    }
+    // the operator tries to add more, and is refused
+    for _ in 0..REFUSED {
+        let status = edit(&more, version);
+        if status == 200 {
+            record.say("a step beyond the limit was taken");
+            d.end(2);
+        }
     }
     let read = |machine: usize| {
         let answer = call(d.addr(machine, "ctl"), "GET", "/api/config/get", &[], b"", Duration::from_secs(2));
         let body = answer.filter(|a| a.status == 200).map(|a| a.body);
         let text = body.map(|b| String::from_utf8_lossy(&b).into_owned());
-        text.filter(|t| t.contains("\"ver\":2") && t.matches("\"pfx\":").count() == first.len() + second.len())
+        text.filter(|t| t.contains(&format!("\"ver\":{version}")) && t.matches("\"pfx\":").count() == number)
     };
     sleep(Duration::from_millis(3000));
     if !(0..3).any(|m| read(m).is_some()) {
