--- a/review/stand-ins-2/lib.rs
+++ b/review/stand-ins-2/lib.rs
@@ -19,17 +19,27 @@
 /// The processes that were started and have not been waited for.
 static STARTED: Mutex<Vec<u32>> = Mutex::new(Vec::new());
 
-/// Ends everything with code 2 after this time, so that no process outlives the case.
+/// A case ends with code 2 after this time, so that no process outlives it.
 const LONGEST: Duration = Duration::from_secs(110);
 
+fn end_started() -> ! {
+    let started = STARTED.lock().unwrap_or_else(|poisoned| poisoned.into_inner()).clone();
+    for pid in started {
+        let _ = Command::new("kill").args(["-s", "KILL", &pid.to_string()]).status();
+    }
+    std::process::exit(2)
+}
+
+/// Ends what was started if the case takes too long or fails itself.
 fn watch() {
+    std::panic::set_hook(Box::new(|panic| {
+        eprintln!("the case could not run: {panic}");
+        end_started()
+    }));
     thread::spawn(|| {
         sleep(LONGEST);
-        println!("the case took too long");
-        for pid in STARTED.lock().unwrap().iter() {
-            let _ = Command::new("kill").args(["-s", "KILL", &pid.to_string()]).status();
-        }
-        std::process::exit(2);
+        eprintln!("the case took too long");
+        end_started()
     });
 }
 
