--- a/review/stand-ins-2/lib.rs
+++ b/review/stand-ins-2/lib.rs
@@ -1,15 +1,21 @@
 //! Stand-ins for the cases of the second review: a small deployment of the project's
 //! own program, the platform's list, workers, the operator and clients. Only the
 //! standard library is used. All addresses are loopback addresses.
-#![allow(dead_code)]
+#![allow(dead_code, unused_imports)]
+
+mod http;
+mod workers;
+
+pub use http::{call, read_body, read_head, Answer, Head};
+pub use workers::{start_worker, Entry, Platform, Run, Runs};
 
 use std::collections::BTreeMap;
 use std::fs;
-use std::io::{Read, Write};
-use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::io::Write;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread::{self, sleep};
 use std::time::{Duration, Instant};
@@ -73,118 +79,6 @@
     }
 }
 
-/// The head of a message, with header names in lower case.
-pub struct Head {
-    pub first: String,
-    pub headers: Vec<(String, String)>,
-}
-
-impl Head {
-    pub fn get(&self, name: &str) -> Option<&str> {
-        let found = self.headers.iter().find(|(n, _)| n == name);
-        found.map(|(_, value)| value.as_str())
-    }
-
-    pub fn length(&self) -> usize {
-        self.get("content-length").and_then(|v| v.parse().ok()).unwrap_or(0)
-    }
-
-    pub fn status(&self) -> u16 {
-        let word = self.first.split(' ').nth(1).unwrap_or("");
-        word.parse().unwrap_or(0)
-    }
-}
-
-/// Reads a head; `None` at the end of the connection or on a time-out.
-pub fn read_head(stream: &mut TcpStream) -> Option<Head> {
-    let mut bytes = Vec::new();
-    let mut byte = [0];
-    while !bytes.ends_with(b"\r\n\r\n") {
-        match stream.read(&mut byte) {
-            Ok(1) => bytes.push(byte[0]),
-            _ => return None,
-        }
-    }
-    let text = String::from_utf8_lossy(&bytes).into_owned();
-    let mut lines = text.split("\r\n");
-    let first = lines.next()?.to_string();
-    let headers = lines
-        .filter_map(|line| line.split_once(':'))
-        .map(|(name, value)| (name.to_ascii_lowercase(), value.trim().to_string()))
-        .collect();
-    Some(Head { first, headers })
-}
-
-pub fn read_body(stream: &mut TcpStream, length: usize) -> Option<Vec<u8>> {
-    let mut body = vec![0; length];
-    stream.read_exact(&mut body).ok()?;
-    Some(body)
-}
-
-/// One entry of the platform's list.
-#[derive(Clone)]
-pub struct Entry {
-    pub id: String,
-    pub svc: String,
-    pub addr: SocketAddr,
-    pub az: String,
-    pub st: String,
-    pub slots: u32,
-}
-
-/// The platform's list of workers.
-#[derive(Clone, Default)]
-pub struct Platform {
-    pub list: Arc<Mutex<Vec<Entry>>>,
-    pub calls: Arc<AtomicU64>,
-}
-
-impl Platform {
-    pub fn start(ip: Ipv4Addr) -> (Platform, SocketAddr) {
-        let platform = Platform::default();
-        let listener = TcpListener::bind((ip, 0)).expect("a free port");
-        let addr = listener.local_addr().unwrap();
-        let shared = platform.clone();
-        thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                let shared = shared.clone();
-                thread::spawn(move || shared.serve(stream));
-            }
-        });
-        (platform, addr)
-    }
-
-    fn serve(&self, mut stream: TcpStream) {
-        while let Some(_head) = read_head(&mut stream) {
-            self.calls.fetch_add(1, Ordering::Relaxed);
-            let list = self.list.lock().unwrap().clone();
-            let entries: Vec<String> = list
-                .iter()
-                .map(|e| {
-                    format!(
-                        "{{\"id\":\"{}\",\"svc\":\"{}\",\"addr\":\"{}\",\"az\":\"{}\",\"ver\":\"v1\",\"slots\":{},\"st\":\"{}\",\"warmupMs\":0}}",
-                        e.id, e.svc, e.addr, e.az, e.slots, e.st
-                    )
-                })
-                .collect();
-            let body = format!("{{\"pool\":[{}],\"next\":null}}", entries.join(","));
-            let answer = format!(
-                "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
-                body.len()
-            );
-            if stream.write_all(answer.as_bytes()).is_err() {
-                return;
-            }
-        }
-    }
-
-    pub fn set_state(&self, id: &str, state: &str) {
-        for entry in self.list.lock().unwrap().iter_mut().filter(|e| e.id == id) {
-            entry.st = state.to_string();
-        }
-    }
-}
-
 /// One machine of the deployment, with its processes.
 pub struct Machine {
     pub name: String,
@@ -454,132 +348,7 @@
     }
 }
 
-/// A complete answer.
-pub struct Answer {
-    pub status: u16,
-    pub head: Head,
-    pub body: Vec<u8>,
-}
-
-/// One call on a new connection; `None` without a complete answer within the time.
-pub fn call(
-    addr: SocketAddr,
-    method: &str,
-    path: &str,
-    headers: &[(&str, &str)],
-    body: &[u8],
-    within: Duration,
-) -> Option<Answer> {
-    let mut stream = TcpStream::connect_timeout(&addr, within).ok()?;
-    let _ = stream.set_nodelay(true);
-    stream.set_read_timeout(Some(within)).ok()?;
-    let has = |name: &str| headers.iter().any(|(n, _)| n.eq_ignore_ascii_case(name));
-    let mut bytes = format!("{method} {path} HTTP/1.1\r\n");
-    if !has("host") {
-        bytes.push_str(&format!("Host: {addr}\r\n"));
-    }
-    for (name, value) in headers {
-        bytes.push_str(&format!("{name}: {value}\r\n"));
-    }
-    if method != "GET" {
-        bytes.push_str(&format!("Content-Length: {}\r\n", body.len()));
-    }
-    bytes.push_str("\r\n");
-    let mut bytes = bytes.into_bytes();
-    bytes.extend_from_slice(body);
-    stream.write_all(&bytes).ok()?;
-    let head = read_head(&mut stream)?;
-    let body = read_body(&mut stream, head.length())?;
-    let status = head.status();
-    Some(Answer { status, head, body })
-}
-
 /// Whether the disruption is to be made (`TROUBLE` is not 0).
 pub fn trouble() -> bool {
     std::env::var("TROUBLE").map_or(true, |v| v != "0")
 }
-
-/// An arrival at a worker that ran the request.
-#[derive(Clone)]
-pub struct Run {
-    pub ms: u64,
-    pub worker: String,
-    pub zone: String,
-    pub attempt: String,
-    pub first_line: String,
-    pub body: Vec<u8>,
-}
-
-#[derive(Clone, Default)]
-pub struct Runs(pub Arc<Mutex<Vec<Run>>>);
-
-/// What a worker answers; the default is a sound short answer.
-pub type Behave = Arc<dyn Fn(&mut TcpStream, &Head, &[u8], u64) -> bool + Send + Sync>;
-
-/// A sound worker: answers 421 to requests for another worker, otherwise runs the request
-/// for `work` and answers it.
-pub fn start_worker(
-    record: &Arc<Record>,
-    runs: &Runs,
-    ip: Ipv4Addr,
-    id: &str,
-    zone: &str,
-    work: Duration,
-) -> SocketAddr {
-    let listener = TcpListener::bind((ip, 0)).expect("a free port");
-    let addr = listener.local_addr().unwrap();
-    let (record, runs) = (record.clone(), runs.clone());
-    let (id, zone) = (id.to_string(), zone.to_string());
-    thread::spawn(move || {
-        for stream in listener.incoming().flatten() {
-            let (record, runs, id, zone) = (record.clone(), runs.clone(), id.clone(), zone.clone());
-            thread::spawn(move || serve_worker(stream, record, runs, id, zone, work));
-        }
-    });
-    addr
-}
-
-fn serve_worker(
-    mut stream: TcpStream,
-    record: Arc<Record>,
-    runs: Runs,
-    id: String,
-    zone: String,
-    work: Duration,
-) {
-    let _ = stream.set_nodelay(true);
-    while let Some(head) = read_head(&mut stream) {
-        let Some(body) = read_body(&mut stream, head.length()) else { return };
-        let attempt = head.get("sorreldoor-attempt-id").unwrap_or("").to_string();
-        if head.first.starts_with("GET /healthz") {
-            let answer = format!("HTTP/1.1 200 OK\r\nSorreldoor-Worker-Id: {id}\r\nContent-Length: 0\r\n\r\n");
-            if stream.write_all(answer.as_bytes()).is_err() {
-                return;
-            }
-            continue;
-        }
-        let answer = if head.get("sorreldoor-want-worker").is_some_and(|want| want != id) {
-            record.note(format!("worker {id}: 421 for {attempt}"));
-            format!("HTTP/1.1 421 Misdirected Request\r\nSorreldoor-Attempt-Id: {attempt}\r\nSorreldoor-Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
-        } else {
-            record.note(format!("worker {id} ({zone}) runs {attempt}: {}", head.first));
-            runs.0.lock().unwrap().push(Run {
-                ms: record.ms(),
-                worker: id.clone(),
-                zone: zone.clone(),
-                attempt: attempt.clone(),
-                first_line: head.first.clone(),
-                body: body.clone(),
-            });
-            sleep(work);
-            let text = format!("done {attempt}");
-            format!(
-                "HTTP/1.1 200 OK\r\nSorreldoor-Attempt-Id: {attempt}\r\nSorreldoor-Worker-Seal: {id}.{attempt}\r\nContent-Length: {}\r\n\r\n{text}",
-                text.len()
-            )
-        };
-        if stream.write_all(answer.as_bytes()).is_err() {
-            return;
-        }
-    }
-}
