--- a/sorreldoor/src/control_plane/client.rs
+++ b/sorreldoor/src/control_plane/client.rs
@@ -5,13 +5,14 @@
 use crate::metrics::CoreFigures;
 use crate::replicated_state::{Command, View};
 use crate::runtime::EventSender;
+use crate::sync::lock;
 use crate::types::{NodeId, ProposalId};
 use crate::wire::{EdgeEndpoint, ProposalOutcome};
 use async_std::channel::{bounded, Receiver, Sender};
 use async_std::future::timeout;
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 /// A request times out after this many acknowledgement times and
@@ -41,12 +42,6 @@
     pub view: Box<View>,
 }
 
-fn locked<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex
-        .lock()
-        .unwrap_or_else(|poisoned| poisoned.into_inner())
-}
-
 /// Requests that wait for the controller's reply, by request id.
 #[derive(Clone, Default)]
 pub struct PendingRequests {
@@ -60,17 +55,17 @@
     pub fn open(&self) -> (u64, Receiver<ControllerReply>) {
         let request_id = self.last_id.fetch_add(1, Ordering::Relaxed) + 1;
         let (sender, receiver) = bounded(1);
-        locked(&self.waiting).insert(request_id, sender);
+        lock(&self.waiting).insert(request_id, sender);
         (request_id, receiver)
     }
 
     /// Drops a request whose reply is no longer awaited.
     pub fn close(&self, request_id: u64) {
-        locked(&self.waiting).remove(&request_id);
+        lock(&self.waiting).remove(&request_id);
     }
 
     pub(super) fn reply(&self, request_id: u64, reply: ControllerReply) {
-        let sender = locked(&self.waiting).remove(&request_id);
+        let sender = lock(&self.waiting).remove(&request_id);
         // without effect if the request was closed
         let _ = sender.map(|sender| sender.try_send(reply).is_ok());
     }
@@ -178,21 +173,21 @@
     /// The edges that have a session, and whether they serve, as last published.
     #[must_use]
     pub fn endpoints(&self) -> Arc<Vec<EdgeEndpoint>> {
-        locked(&self.endpoints).clone()
+        lock(&self.endpoints).clone()
     }
 
     /// The core's metrics, as last published.
     #[must_use]
     pub fn metrics(&self) -> CoreFigures {
-        *locked(&self.metrics)
+        *lock(&self.metrics)
     }
 
     pub(super) fn publish_metrics(&self, metrics: CoreFigures) {
-        *locked(&self.metrics) = metrics;
+        *lock(&self.metrics) = metrics;
     }
 
     pub(super) fn publish_endpoints(&self, endpoints: &Arc<Vec<EdgeEndpoint>>) {
-        let mut published = locked(&self.endpoints);
+        let mut published = lock(&self.endpoints);
         if !Arc::ptr_eq(&published, endpoints) {
             *published = endpoints.clone();
         }
--- a/sorreldoor/src/control_plane/storage_driver.rs
+++ b/sorreldoor/src/control_plane/storage_driver.rs
@@ -8,11 +8,12 @@
 use crate::runtime::EventSender;
 use crate::start_error::{OpenStoreSnafu, StartError};
 use crate::store::{Directory, DurableStore, OpenedStore, Store};
+use crate::sync::lock;
 use async_std::channel::{bounded, Receiver, Sender};
 use snafu::ResultExt;
 use std::io;
 use std::path::Path;
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -130,16 +131,10 @@
 
     /// Stores a small value under a name; retries until it is synced.
     pub(super) fn put(&self, name: &str, value: &[u8]) {
-        retry_until_synced(|| locked(&self.store).put(name, value));
+        retry_until_synced(|| lock(&self.store).put(name, value));
     }
 }
 
-fn locked<S>(store: &Mutex<S>) -> MutexGuard<'_, S> {
-    store
-        .lock()
-        .unwrap_or_else(|poisoned| poisoned.into_inner())
-}
-
 /// Writes the queued saves with one sync, retrying until that succeeds; `None`
 /// once the controller has stopped.
 fn save_next<S: Store>(
@@ -178,5 +173,5 @@
 
 /// One attempt to write a batch. The store is locked for this attempt only.
 fn save_once<S: Store>(store: &Mutex<S>, batch: &[(u64, Save)]) -> io::Result<()> {
-    locked(store).save(batch)
+    lock(store).save(batch)
 }
--- a/sorreldoor/src/gateway/pending_calls.rs
+++ b/sorreldoor/src/gateway/pending_calls.rs
@@ -4,6 +4,7 @@
 use crate::error::ErrorCode;
 use crate::gateway::request_table::{RequestId, RequestProfile};
 use crate::replicated_state::View;
+use crate::sync::lock;
 use crate::wire::ProposalOutcome;
 use async_std::channel::{bounded, Receiver, Sender};
 use std::collections::HashMap;
@@ -82,6 +83,6 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
-        self.state.lock().unwrap_or_else(|e| e.into_inner())
+        lock(&self.state)
     }
 }
--- a/sorreldoor/src/lib.rs
+++ b/sorreldoor/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod start_error;
 pub mod store;
 pub mod subscription;
+mod sync;
 pub mod types;
 pub mod weight_tuning;
 pub mod wire;
--- a/sorreldoor/src/net/connection.rs
+++ b/sorreldoor/src/net/connection.rs
@@ -1,10 +1,9 @@
 //! The lifetime of one connection: socket options, reader and writer.
 
-use super::{
-    locked, queue, Closed, Conn, Net, NetEvent, OutgoingFrames, OutgoingTarget, USER_TIMEOUT,
-};
+use super::{queue, Closed, Conn, Net, NetEvent, OutgoingFrames, OutgoingTarget, USER_TIMEOUT};
 use crate::log_events::{log_event, LogEvent};
 use crate::runtime::Prioritized;
+use crate::sync::lock;
 use crate::wire;
 use async_std::future::timeout;
 use async_std::io::prelude::*;
@@ -33,7 +32,7 @@
         let conn = self.next_conn.fetch_add(1, Ordering::Relaxed);
         set_options(&stream);
         let (outgoing, frames, closed) = queue();
-        locked(&self.outgoing).insert(conn, outgoing);
+        lock(&self.outgoing).insert(conn, outgoing);
         if let Some((_, target)) = &dialled {
             target.conn.store(conn, Ordering::SeqCst);
             // `undial` may have been called during the connection attempt
--- a/sorreldoor/src/net/mod.rs
+++ b/sorreldoor/src/net/mod.rs
@@ -8,6 +8,7 @@
 
 use crate::log_events::{log_event, LogEvent};
 use crate::runtime::{EventSender, Prioritized};
+use crate::sync::lock;
 use crate::wire::{self, Payload};
 use async_std::future::timeout;
 use async_std::net::{TcpListener, TcpStream};
@@ -16,7 +17,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::Mutex;
 use std::time::Duration;
 
 /// Number of a connection, unique within the process.
@@ -125,7 +126,7 @@
     /// Queues a frame; returns false if it was dropped because the connection is
     /// closed or its queue is full.
     pub fn send(&self, conn: Conn, payload: &Payload) -> bool {
-        let outgoing = locked(&self.outgoing).get(&conn).cloned();
+        let outgoing = lock(&self.outgoing).get(&conn).cloned();
         let Some(outgoing) = outgoing else {
             return false;
         };
@@ -141,7 +142,7 @@
 
     /// Closes a connection; `NetEvent::Down` follows.
     pub fn close(&self, conn: Conn) {
-        if let Some(outgoing) = locked(&self.outgoing).remove(&conn) {
+        if let Some(outgoing) = lock(&self.outgoing).remove(&conn) {
             outgoing.close();
         }
     }
@@ -155,7 +156,7 @@
                 continue;
             };
             // bounds the memory that a flood of connections can use
-            if locked(&self.outgoing).len() >= self.max_connections {
+            if lock(&self.outgoing).len() >= self.max_connections {
                 continue;
             }
             let net = self.clone();
@@ -169,7 +170,7 @@
     pub fn dial(&self, addr: SocketAddr, to: SocketAddr) {
         let target = Arc::new(OutgoingTarget::default());
         {
-            let mut targets = locked(&self.targets);
+            let mut targets = lock(&self.targets);
             if targets.contains_key(&addr) {
                 return;
             }
@@ -199,14 +200,10 @@
 
     /// Stops connecting to `addr`, and closes its connection.
     pub fn undial(&self, addr: SocketAddr) {
-        let target = locked(&self.targets).remove(&addr);
+        let target = lock(&self.targets).remove(&addr);
         if let Some(target) = target {
             target.stopped.store(true, Ordering::SeqCst);
             self.close(target.conn.load(Ordering::SeqCst));
         }
     }
 }
-
-fn locked<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
--- a/sorreldoor/src/proxy/shared_state.rs
+++ b/sorreldoor/src/proxy/shared_state.rs
@@ -5,6 +5,7 @@
 use super::upstream::ConnectionPool;
 use crate::balancer::{RequestId, ShutdownLimits};
 use crate::runtime::Clock;
+use crate::sync::lock;
 use crate::types::Millis;
 use async_std::channel::{bounded, Receiver, Sender};
 use std::collections::{BTreeMap, HashMap};
@@ -68,11 +69,11 @@
     /// Locks the controller with its balancer. The guard must not be held across an
     /// await.
     pub fn lock(&self) -> MutexGuard<'_, ProxyController> {
-        self.controller.lock().unwrap_or_else(|p| p.into_inner())
+        lock(&self.controller)
     }
 
     fn queued(&self) -> MutexGuard<'_, HashMap<RequestId, Sender<()>>> {
-        self.queued.lock().unwrap_or_else(|p| p.into_inner())
+        lock(&self.queued)
     }
 
     /// Queues a request; the receiver resolves when a worker may be available.
--- a/sorreldoor/src/proxy/upstream/connection_pool.rs
+++ b/sorreldoor/src/proxy/upstream/connection_pool.rs
@@ -3,6 +3,7 @@
 
 use crate::invariants::{is_disabled, Invariant};
 use crate::proxy::http1::ReadBuffer;
+use crate::sync::lock;
 use async_std::net::TcpStream;
 use std::collections::HashMap;
 use std::future::Future;
@@ -81,7 +82,7 @@
 
 impl ConnectionPool {
     fn lock(&self) -> MutexGuard<'_, HashMap<u32, WorkerConnections>> {
-        self.workers.lock().unwrap_or_else(|p| p.into_inner())
+        lock(&self.workers)
     }
 
     /// Returns a connection that was idle for less than `max_idle`, or `None` if the
--- a/sorreldoor/src/store/legacy.rs
+++ b/sorreldoor/src/store/legacy.rs
@@ -5,11 +5,12 @@
 use super::DurableState;
 use crate::consensus::Save;
 use crate::replicated_state::decode;
+use crate::sync::lock;
 use okaywal::{Configuration, Entry, EntryId, LogManager, SegmentReader, WriteAheadLog};
 use std::fs::{self, File};
 use std::io;
 use std::path::Path;
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::{Arc, Mutex};
 
 /// Starts every batch, so that batches after a damaged one can be found.
 const MAGIC: &[u8; 8] = b"SDbatch1";
@@ -139,12 +140,6 @@
     }
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex
-        .lock()
-        .unwrap_or_else(|poisoned| poisoned.into_inner())
-}
-
 /// The number of a batch and its saves.
 fn decode_batch(bytes: &[u8]) -> Option<(u64, Vec<(u64, Save)>)> {
     let body = bytes.strip_prefix(MAGIC)?;
