--- a/sorreldoor/src/control_plane/controller/changes.rs
+++ b/sorreldoor/src/control_plane/controller/changes.rs
@@ -4,7 +4,7 @@
 use super::Controller;
 use crate::consensus::{Body, Event, ProposalError};
 use crate::control_plane::events::{ControllerEffect, Requester};
-use crate::control_plane::proposals;
+use crate::control_plane::proposals::{self, ChangeSubject};
 use crate::ids::format_proposal_id;
 use crate::log_events::LogEvent;
 use crate::replicated_state::{encode, Command, DocumentSummary, Outcome};
@@ -28,7 +28,9 @@
             // a wait would time out; another core may reach the quorum
             return self.send_outcome(requester, ProposalOutcome::Unknown);
         }
-        self.proposals.add_requester(proposal_id, requester);
+        let subject = ChangeSubject::from(&command);
+        self.proposals
+            .add_requester(proposal_id, subject, requester);
         let command = self.bind_to_zone_state(command);
         let body = Body::Data(Arc::new(encode(&command)));
         self.step_consensus(Event::Propose { proposal_id, body });
@@ -59,27 +61,53 @@
         let outcome = proposals::outcome(result);
         let accepted = matches!(outcome, ProposalOutcome::Committed(Outcome::Applied { .. }));
         self.singleton.proposal_ended(proposal_id, accepted);
-        let requesters = self.proposals.take_requesters(proposal_id);
-        if !requesters.is_empty() {
-            self.log_outcome(proposal_id, &outcome);
-        }
-        for requester in requesters {
+        let Some(proposal) = self.proposals.take(proposal_id) else {
+            return;
+        };
+        self.log_outcome(proposal_id, proposal.subject, &outcome);
+        for requester in proposal.requesters {
             self.send_outcome(requester, outcome.clone());
         }
     }
 
-    fn log_outcome(&mut self, proposal_id: ProposalId, outcome: &ProposalOutcome) {
+    fn log_outcome(
+        &mut self,
+        proposal_id: ProposalId,
+        subject: ChangeSubject,
+        outcome: &ProposalOutcome,
+    ) {
         let id = format_proposal_id(proposal_id);
+        let description = self.describe(subject);
         let (event, details) = match outcome {
-            ProposalOutcome::Committed(Outcome::Applied { version }) => (
-                LogEvent::ChangeCommitted,
-                format!("{id} as serial {version}: {}", self.document_summary()),
+            ProposalOutcome::Committed(Outcome::Applied { version }) => {
+                let details = match subject {
+                    ChangeSubject::Document => self.document_summary().to_string(),
+                    _ => description,
+                };
+                (
+                    LogEvent::ChangeCommitted,
+                    format!("{id} as serial {version}: {details}"),
+                )
+            }
+            other => (
+                LogEvent::ChangeRejected,
+                format!("{id}: {description}: {other:?}"),
             ),
-            other => (LogEvent::ChangeRejected, format!("{id}: {other:?}")),
         };
         self.log_event(event, details);
     }
 
+    fn describe(&self, subject: ChangeSubject) -> String {
+        match subject {
+            ChangeSubject::Document => "configuration".to_string(),
+            ChangeSubject::Zone { zone, evacuated } => {
+                let state = if evacuated { "evacuated" } else { "in service" };
+                format!("zone {} {state}", self.site.zone_name(zone))
+            }
+            ChangeSubject::Core(id) => format!("core {id:x} removed"),
+        }
+    }
+
     fn document_summary(&self) -> DocumentSummary {
         let consensus = self.consensus.as_ref();
         consensus
--- a/sorreldoor/src/control_plane/controller/membership.rs
+++ b/sorreldoor/src/control_plane/controller/membership.rs
@@ -6,6 +6,7 @@
 use crate::control_plane::connections::LIVE_TIMEOUT_MS;
 use crate::control_plane::events::{ControllerEffect, Requester};
 use crate::control_plane::membership::{Health, Observation};
+use crate::control_plane::proposals::ChangeSubject;
 use crate::log_events::LogEvent;
 use crate::types::{NodeId, ProposalId};
 use crate::wire::{Payload, ProposalOutcome};
@@ -73,7 +74,9 @@
             return;
         }
         let requester = Requester::Http { request_id };
-        self.proposals.add_requester(proposal_id, requester);
+        let subject = ChangeSubject::Core(core);
+        self.proposals
+            .add_requester(proposal_id, subject, requester);
         let body = Body::Members(remaining);
         self.step_consensus(Event::Propose { proposal_id, body });
     }
--- a/sorreldoor/src/control_plane/proposals.rs
+++ b/sorreldoor/src/control_plane/proposals.rs
@@ -3,28 +3,73 @@
 
 use super::events::Requester;
 use crate::consensus::ProposalError;
-use crate::replicated_state::{decode, Outcome};
+use crate::replicated_state::{decode, Command, Outcome, ZoneIndex};
 use crate::types::{NodeId, ProposalId};
 use crate::wire::{Hello, ProposalOutcome};
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-/// The requesters that wait for the outcome of each proposal.
+/// What a change concerns, for the audit log.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum ChangeSubject {
+    /// The configuration document.
+    Document,
+    /// A zone, which is evacuated or returned to service.
+    Zone { zone: ZoneIndex, evacuated: bool },
+    /// A core, which is removed from the membership.
+    Core(NodeId),
+}
+
+impl From<&Command> for ChangeSubject {
+    fn from(command: &Command) -> ChangeSubject {
+        match *command {
+            Command::EvacuateZone {
+                zone, evacuated, ..
+            }
+            | Command::EvacuateUnversioned { zone, evacuated }
+            | Command::EvacuateIfUnchanged {
+                zone, evacuated, ..
+            } => ChangeSubject::Zone { zone, evacuated },
+            _ => ChangeSubject::Document,
+        }
+    }
+}
+
+/// A proposal in flight.
+#[derive(Debug)]
+pub(super) struct Proposal {
+    /// What the proposed change concerns.
+    pub subject: ChangeSubject,
+    /// The requesters that wait for its outcome.
+    pub requesters: Vec<Requester>,
+}
+
+/// The proposals in flight.
 #[derive(Debug, Default)]
 pub(super) struct Proposals {
-    waiting: BTreeMap<ProposalId, Vec<Requester>>,
+    in_flight: BTreeMap<ProposalId, Proposal>,
 }
 
 impl Proposals {
     /// Adds a requester that waits for the outcome of a proposal; there may be
     /// several.
-    pub fn add_requester(&mut self, proposal_id: ProposalId, requester: Requester) {
-        self.waiting.entry(proposal_id).or_default().push(requester);
+    pub fn add_requester(
+        &mut self,
+        proposal_id: ProposalId,
+        subject: ChangeSubject,
+        requester: Requester,
+    ) {
+        let proposal = self.in_flight.entry(proposal_id).or_insert(Proposal {
+            subject,
+            requesters: Vec::new(),
+        });
+        proposal.requesters.push(requester);
     }
 
-    /// Removes and returns the requesters that wait for the outcome of a proposal.
-    pub fn take_requesters(&mut self, proposal_id: ProposalId) -> Vec<Requester> {
-        self.waiting.remove(&proposal_id).unwrap_or_default()
+    /// Removes and returns a proposal whose outcome is known; `None` for one that no
+    /// requester waits for.
+    pub fn take(&mut self, proposal_id: ProposalId) -> Option<Proposal> {
+        self.in_flight.remove(&proposal_id)
     }
 }
 
