Count each acknowledged evacuation, so that older pending ones have no effect

Callers would have seen: a call that got no clear answer and was given up takes effect after a newer one for the zone was acknowledged.

Cause: a call for the state that the zone is in was acknowledged without raising the number of changes, so an older call that a core still had pending found its condition unchanged.

Ruled out: late binding, as the pending call was bound before.

Fix: Command::EvacuateCounted raises the number whenever it is applied.

--- a/sorreldoor/src/control_plane/controller/changes.rs
+++ b/sorreldoor/src/control_plane/controller/changes.rs
@@ -65,7 +65,7 @@
         let Some(changes) = self.zone_history.changes_at(zone, sent_after) else {
             return self.send_outcome(requester, ProposalOutcome::Unknown);
         };
-        let command = Command::EvacuateIfUnchanged {
+        let command = Command::EvacuateCounted {
             zone,
             evacuated,
             changes,
--- a/sorreldoor/src/control_plane/proposals.rs
+++ b/sorreldoor/src/control_plane/proposals.rs
@@ -29,6 +29,9 @@
             | Command::EvacuateUnversioned { zone, evacuated }
             | Command::EvacuateIfUnchanged {
                 zone, evacuated, ..
+            }
+            | Command::EvacuateCounted {
+                zone, evacuated, ..
             } => ChangeSubject::Zone { zone, evacuated },
             _ => ChangeSubject::Document,
         }
--- a/sorreldoor/src/invariants.rs
+++ b/sorreldoor/src/invariants.rs
@@ -91,6 +91,8 @@
     ConditionalEvacuation "evacuate-once";
     // An evacuation holds for the state of the zone when it was sent, not when it is read.
     EvacuationBoundWhenSent "evacuate-when-sent";
+    // An evacuation that is acknowledged without an effect supersedes older ones, too.
+    EvacuationCounted "evacuate-counted";
     // A body shorter than its Content-Length is not a complete response.
     CompleteBody "result-length";
     // A response that names another request is not forwarded.
--- a/sorreldoor/src/replicated_state/change.rs
+++ b/sorreldoor/src/replicated_state/change.rs
@@ -46,6 +46,11 @@
                 evacuated,
                 changes,
             } => self.evacuate_if_unchanged(zone, evacuated, changes),
+            Command::EvacuateCounted {
+                zone,
+                evacuated,
+                changes,
+            } => self.evacuate_counted(zone, evacuated, changes),
             Command::EvacuateZone {
                 base,
                 zone,
@@ -196,6 +201,17 @@
         self.evacuate_unversioned(zone, evacuated)
     }
 
+    fn evacuate_counted(&mut self, zone: ZoneIndex, evacuated: bool, changes: u64) -> Outcome {
+        let changes_before = self.zone_changes(zone);
+        let outcome = self.evacuate_if_unchanged(zone, evacuated, changes);
+        let applied = matches!(outcome, Outcome::Applied { .. });
+        let uncounted = self.zone_changes(zone) == changes_before;
+        if applied && uncounted && !is_disabled(Invariant::EvacuationCounted) {
+            self.data.zone_changes.insert(zone, changes_before + 1);
+        }
+        outcome
+    }
+
     fn set_evacuated(&mut self, zone: ZoneIndex, evacuated: bool) -> Result<(), Faults> {
         if self.site.zone_name(zone) == "?" {
             return Err(vec![format!("zone: there is no zone {zone}")]);
--- a/sorreldoor/src/replicated_state/command.rs
+++ b/sorreldoor/src/replicated_state/command.rs
@@ -99,9 +99,8 @@
         #[serde(rename = "emptied")]
         evacuated: bool,
     },
-    /// Like `EvacuateUnversioned`, but applied only while the zone's number of
-    /// changes equals the one that the proposing core read when it got the
-    /// request, so that a delayed duplicate has no effect after later changes.
+    /// Like `EvacuateCounted`, but a request for the state that the zone is in
+    /// does not count as a change. Proposed by releases before protocol 7.
     #[serde(rename = "EvacuateOnce")]
     EvacuateIfUnchanged {
         /// The zone to change.
@@ -112,6 +111,20 @@
         /// The zone's number of changes as read by the proposing core.
         changes: u64,
     },
+    /// Like `EvacuateUnversioned`, but applied only while the zone's number of
+    /// changes equals the one that the proposing core knew when the request can
+    /// have been sent at the earliest, or while the zone is in the requested state.
+    /// Each that is applied counts as a change, so that older requests that are
+    /// still delayed have no effect after it.
+    EvacuateCounted {
+        /// The zone to change.
+        zone: ZoneIndex,
+        /// As in `EvacuateZone`.
+        #[serde(rename = "emptied")]
+        evacuated: bool,
+        /// The zone's number of changes as known by the proposing core.
+        changes: u64,
+    },
 }
 
 impl Command {
--- a/sorreldoor/src/replicated_state/mod.rs
+++ b/sorreldoor/src/replicated_state/mod.rs
@@ -124,7 +124,8 @@
         self.data.evacuated.contains(&zone)
     }
 
-    /// How often a zone was evacuated or returned to service.
+    /// How often a zone was evacuated or returned to service, with requests for the
+    /// state that it was in.
     pub fn zone_changes(&self, zone: ZoneIndex) -> u64 {
         self.data.zone_changes.get(&zone).copied().unwrap_or(0)
     }
--- a/sorreldoor/src/replicated_state/persistent.rs
+++ b/sorreldoor/src/replicated_state/persistent.rs
@@ -39,7 +39,8 @@
     pub(super) holder: u64,
     #[serde(default, rename = "taken")]
     pub(super) applied_requests: AppliedRequests,
-    /// How often each zone was evacuated or returned to service.
+    /// How often each zone was evacuated or returned to service, with requests for
+    /// the state that it was in.
     #[serde(default)]
     pub(super) zone_changes: OrdMap<ZoneIndex, u64>,
     /// Outcomes in the format of the previous release; read, never written.
--- a/sorreldoor/tests/formats/samples.rs
+++ b/sorreldoor/tests/formats/samples.rs
@@ -150,6 +150,11 @@
             evacuated: false,
             changes: 1,
         },
+        Command::EvacuateCounted {
+            zone: 0,
+            evacuated: true,
+            changes: 2,
+        },
     ]
 }
 
--- a/sorreldoor/tests/replicated_state.rs
+++ b/sorreldoor/tests/replicated_state.rs
@@ -312,6 +312,39 @@
     assert_eq!(restored.zone_changes(1), 3);
 }
 
+#[test]
+fn an_evacuation_without_effect_supersedes_older_ones() {
+    let mut state = ReplicatedState::new(site());
+    let set_evacuated = |evacuated, changes| Command::EvacuateCounted {
+        zone: 1,
+        evacuated,
+        changes,
+    };
+    let applied = Outcome::Applied { version: 0 };
+    assert_eq!(apply(&mut state, 1, &set_evacuated(true, 0)), applied);
+    // repetitions, by a core that knows the newest state and by one that lags behind
+    for (id, known_changes) in [(2, 1), (3, 0)] {
+        let before = state.zone_changes(1);
+        let repetition = set_evacuated(true, known_changes);
+        assert_eq!(apply(&mut state, id, &repetition), applied);
+        assert_eq!(state.zone_changes(1), before + 1);
+        // bound before the repetition, and delayed
+        let delayed = apply(&mut state, id + 10, &set_evacuated(false, before));
+        assert_eq!(delayed, Outcome::Unknown { version: 0 });
+        assert!(state.is_evacuated(1));
+    }
+    // entries in logs of earlier releases have the effect that they had then
+    let earlier = Command::EvacuateIfUnchanged {
+        zone: 1,
+        evacuated: true,
+        changes: 3,
+    };
+    assert_eq!(apply(&mut state, 20, &earlier), applied);
+    assert_eq!(state.zone_changes(1), 3);
+    assert_eq!(apply(&mut state, 21, &set_evacuated(false, 3)), applied);
+    assert!(!state.is_evacuated(1));
+}
+
 /// The parts of the previous release's stored state that are read.
 #[derive(serde::Serialize)]
 struct LegacyImage {
--- a/testbed/tests/site/evacuations.rs
+++ b/testbed/tests/site/evacuations.rs
@@ -174,6 +174,56 @@
     assert!(detected.is_some(), "evacuate-when-sent was not detected");
 }
 
+/// The zone's state is `!late`. A call for `late` is pending at a partitioned core. Then
+/// a call for `!late`, without an effect, is acknowledged; then the partition heals. With
+/// `bound_early` that call arrives on a connection from before the zone's last change.
+fn with_acknowledged_repetition(seed: u64, late: bool, bound_early: bool) -> World {
+    let mut world = ready_world(seed);
+    let leader = world.leader().unwrap_or(0);
+    let isolated = other_core(&world, leader);
+    evacuate_until_acknowledged(&mut world, leader, late);
+    world.run_for(1500);
+    let early_call = bound_early.then(|| world.evacuate_late(leader, ZONE, !late, 3500));
+    evacuate_until_acknowledged(&mut world, leader, !late);
+    world.run_for(1500);
+    for other in world.cores() {
+        if other != isolated {
+            world.partition_pair(isolated, other);
+        }
+    }
+    world.evacuate(isolated, ZONE, late);
+    match early_call {
+        None => evacuate_until_acknowledged(&mut world, leader, !late),
+        Some(call) => {
+            world.run_for(2500);
+            assert!(was_committed(&world, call), "seed {seed}: not acknowledged");
+        }
+    }
+    world.heal();
+    world.run_for(SETTLE_MS);
+    world
+}
+
+/// Guards against a pending call that undoes a newer one which was acknowledged without
+/// an effect, as the zone was in the state that it asked for.
+#[test]
+fn a_pending_call_does_not_undo_a_newer_one_without_effect() {
+    for (late, bound_early) in [(false, false), (true, false), (false, true), (true, true)] {
+        for seed in seeds(5490..5500) {
+            let world = with_acknowledged_repetition(seed, late, bound_early);
+            let context = format!(
+                "seed {seed}, {bound_early}: the last call asked for {}",
+                !late
+            );
+            assert_evacuated(&world, !late, &context);
+        }
+    }
+    let detected = detected_by(Invariant::EvacuationCounted, 5490..5500, |seed| {
+        !evacuated_at_cores(&with_acknowledged_repetition(seed, false, false)).1
+    });
+    assert!(detected.is_some(), "evacuate-counted was not detected");
+}
+
 /// A zone that changes again and again is never stuck: each call is acknowledged.
 #[test]
 fn every_call_of_a_series_is_acknowledged() {
