--- a/sorreldoor/tests/formats/main.rs
+++ b/sorreldoor/tests/formats/main.rs
@@ -6,6 +6,7 @@
 //! change of format, with a new `PROTOCOL_VERSION` and a reader for the old data
 //! (`SORRELDOOR_WRITE_SAMPLES=1 cargo test`).
 
+mod commands;
 mod legacy;
 mod messages;
 mod samples;
--- a/sorreldoor/tests/formats/samples.rs
+++ b/sorreldoor/tests/formats/samples.rs
@@ -1,11 +1,12 @@
 //! Samples of frames between nodes, of saves and of replicated state.
 
+use super::commands::{commands, outcomes};
 use super::messages::{claim, entries, member, messages};
 use sorreldoor::configuration::Site;
 use sorreldoor::consensus::{ClaimRecord, HardState, LogPosition, Save, Snapshot, StateMachine};
 use sorreldoor::discovery::{Load, Loads, Worker, WorkerRegistry};
 use sorreldoor::quota::{AdmissionShare, AdmissionUpdate, TenantUsage, UsageReport};
-use sorreldoor::replicated_state::{encode, Command, Outcome, Recovery, ReplicatedState};
+use sorreldoor::replicated_state::{encode, ReplicatedState};
 use sorreldoor::store::DurableState;
 use sorreldoor::wire::{
     BootstrapMessage, ClaimVote, ClaimsPage, EdgeEndpoint, EdgeSession, EdgeStatus, EncodedUpdate,
@@ -95,82 +96,6 @@
     })
 }
 
-pub(super) fn commands() -> Vec<Command> {
-    vec![
-        Command::Put {
-            base: 0,
-            new_version: Some(7),
-            document: DOCUMENT.into(),
-        },
-        Command::MergePatch {
-            base: 7,
-            patch: r#"{"routes":{"r":{"cutoff_ms":900}}}"#.into(),
-        },
-        Command::EvacuateZone {
-            base: 8,
-            zone: 1,
-            evacuated: true,
-        },
-        Command::AcquireRole {
-            holder: 11,
-            previous_epoch: 0,
-        },
-        Command::SetWeights {
-            epoch: 1,
-            version: 9,
-            weights: vec![(0, 0, 55)],
-        },
-        Command::SetRegion {
-            epoch: 1,
-            region: 1,
-            state: Recovery::Returning(40),
-        },
-        Command::SetRegion {
-            epoch: 1,
-            region: 0,
-            state: Recovery::Lost,
-        },
-        Command::SetRegion {
-            epoch: 1,
-            region: 0,
-            state: Recovery::Served,
-        },
-        Command::ChangeItems {
-            base: 9,
-            new_version: Some(10),
-            set: r#"{"services":[{"name":"z"}]}"#.into(),
-            drop: "{}".into(),
-        },
-        Command::EvacuateUnversioned {
-            zone: 0,
-            evacuated: true,
-        },
-        Command::EvacuateIfUnchanged {
-            zone: 0,
-            evacuated: false,
-            changes: 1,
-        },
-        Command::EvacuateCounted {
-            zone: 0,
-            evacuated: true,
-            changes: 2,
-        },
-    ]
-}
-
-pub(super) fn outcomes() -> Vec<Outcome> {
-    vec![
-        Outcome::Applied { version: 3 },
-        Outcome::Stale { version: 3 },
-        Outcome::Invalid {
-            faults: vec!["no such route".into()],
-        },
-        Outcome::StaleEpoch { epoch: 2 },
-        Outcome::BaseAhead { version: 3 },
-        Outcome::Unknown { version: 3 },
-    ]
-}
-
 /// The state after all commands, and its revision before the ninth command.
 pub(super) fn records() -> (ReplicatedState, u64) {
     let mut record = ReplicatedState::new(site());
