Soak: an operator that evacuates a zone, with calls to paused cores, and a rule for it

Now one zone is evacuated, returned by a call that goes to a paused core first, and evacuated again at once; cores are paused for up to 4.2 s and more often (4 or 5 of 13 faults rather than 2 of 10). The rule evacuated: no run in the zone later than 5 s after the acknowledgement and before its return is sent, by an edge in contact.

Its own tests of the rule are in hosted_soak.rs.

--- a/testbed/src/hosted_soak/checks.rs
+++ b/testbed/src/hosted_soak/checks.rs
@@ -4,8 +4,9 @@
 use super::plan::{Handling, Plan, RouteKind};
 use super::records::{
     ChangeRecord, ChangeState, Disturbance, DisturbanceRecord, Ending, Millis, RequestRecord,
-    RunRecord,
+    RunRecord, ZoneChangeRecord,
 };
+use super::zone_operator::ZONE;
 use std::collections::HashMap;
 
 /// A connection may close without a response for this long after the last byte of a
@@ -19,11 +20,14 @@
     pub requests: &'a [RequestRecord],
     pub runs: &'a [RunRecord],
     pub changes: &'a [ChangeRecord],
+    pub zone_changes: &'a [ZoneChangeRecord],
     pub disturbances: &'a [DisturbanceRecord],
     /// Indices of the cores among the processes.
     pub cores: std::ops::Range<usize>,
     /// Limit on the time from the acknowledgement of a change until it is in force.
     pub apply_ms: Millis,
+    /// Limit on the time from the acknowledgement of an evacuation until it is in force.
+    pub evacuation_ms: Millis,
     /// Rules with a time bound apply to requests whose edge and cores had no disturbance
     /// for this time before.
     pub contact_ms: Millis,
@@ -51,14 +55,32 @@
     /// Whether the edge of a request and all cores had no disturbance from `contact_ms`
     /// before the request until its end.
     fn undisturbed(&self, request: &RequestRecord) -> bool {
-        let span = (
-            request.sent_at.saturating_sub(self.contact_ms),
-            request.ended_at,
-        );
-        let mut processes = self.cores.clone().chain([request.edge]);
+        self.in_contact(request.edge, (request.sent_at, request.ended_at))
+    }
+
+    /// Whether an edge and all cores had no disturbance from `contact_ms` before a span
+    /// until its end.
+    fn in_contact(&self, edge: usize, (start, end): (Millis, Millis)) -> bool {
+        let span = (start.saturating_sub(self.contact_ms), end);
+        let mut processes = self.cores.clone().chain([edge]);
         !processes.any(|process| self.disturbed(process, span, true))
     }
 
+    /// The spans in which the zone must get nothing: from `evacuation_ms` after the
+    /// acknowledgement of an evacuation until a call for its return is sent.
+    fn evacuated_spans(&self) -> Vec<(Millis, Millis)> {
+        let changes = self.zone_changes.iter().enumerate();
+        let spans = changes.filter_map(|(index, change)| match change.state {
+            ChangeState::Acknowledged { at } if change.evacuated => {
+                let mut later = self.zone_changes[index + 1..].iter();
+                let end = later.find(|later| !later.evacuated).map(|l| l.sent_at);
+                Some((at + self.evacuation_ms, end.unwrap_or(Millis::MAX)))
+            }
+            _ => None,
+        });
+        spans.collect()
+    }
+
     fn route_kind(&self, path: &str) -> Option<RouteKind> {
         let mut plans = self.changes.iter().map(|change| &change.plan);
         plans.find_map(|plan| plan.route_of(path).map(|route| route.kind))
@@ -92,7 +114,7 @@
 pub type Rule = fn(&Evidence) -> Vec<String>;
 
 /// All rules with their names.
-pub const RULES: [(&str, Rule); 8] = [
+pub const RULES: [(&str, Rule); 9] = [
     ("whole-answers", whole_answers),
     ("run-once", run_once),
     ("promises", promises),
@@ -101,6 +123,7 @@
     ("in-force", in_force),
     ("keys-withheld", keys_withheld),
     ("answered", answered),
+    ("evacuated", evacuated),
 ];
 
 /// Every response is well-formed, and every success is complete and the response of a
@@ -274,3 +297,29 @@
         })
         .collect()
 }
+
+/// An evacuated zone gets no request from an undisturbed edge.
+pub fn evacuated(evidence: &Evidence) -> Vec<String> {
+    let edges: HashMap<&str, usize> = evidence
+        .requests
+        .iter()
+        .map(|request| (request.attempt_id.as_str(), request.edge))
+        .collect();
+    let spans = evidence.evacuated_spans();
+    let late = evidence.runs.iter().filter(|run| {
+        let evacuated = spans
+            .iter()
+            .any(|(start, end)| (*start..*end).contains(&run.at));
+        let edge = edges.get(run.attempt_id.as_str());
+        run.zone == ZONE
+            && evacuated
+            && edge.is_some_and(|edge| evidence.in_contact(*edge, (run.at, run.at)))
+    });
+    late.map(|run| {
+        format!(
+            "{} {} ran in the evacuated zone at {} ms",
+            run.attempt_id, run.path, run.at
+        )
+    })
+    .collect()
+}
--- a/testbed/src/hosted_soak/faults.rs
+++ b/testbed/src/hosted_soak/faults.rs
@@ -11,6 +11,12 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+/// How long a process is paused or down.
+const MIN_PAUSE_MS: u64 = 200;
+const MAX_PAUSE_MS: u64 = 1300;
+/// Long enough for an operator to give up a call and have newer ones acknowledged.
+const MAX_CORE_PAUSE_MS: u64 = 4000;
+
 /// A fault of a process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum ProcessFault {
@@ -63,7 +69,7 @@
     pub async fn run_on_cores(mut self) {
         while !self.records.stopped() {
             sleep(Duration::from_millis(1500 + self.random.below(3000))).await;
-            let kind = match self.random.below(10) {
+            let kind = match self.random.below(13) {
                 0 => {
                     self.kill_all_cores().await;
                     continue;
@@ -71,8 +77,8 @@
                 1 => ProcessFault::LoseDisk,
                 2..=4 => ProcessFault::Restart,
                 5 | 6 => ProcessFault::Kill,
-                7 | 8 => ProcessFault::Pause,
-                _ => ProcessFault::Reload,
+                7 => ProcessFault::Reload,
+                _ => ProcessFault::Pause,
             };
             self.begin(ProcessRole::Core, kind, 1);
         }
@@ -99,7 +105,11 @@
         if faulty.len() >= limit || !faulty.insert(index) {
             return;
         }
-        let pause = Duration::from_millis(200 + self.random.below(1300));
+        let longest_ms = match (role, kind) {
+            (ProcessRole::Core, ProcessFault::Pause) => MAX_CORE_PAUSE_MS,
+            _ => MAX_PAUSE_MS,
+        };
+        let pause = Duration::from_millis(MIN_PAUSE_MS + self.random.below(longest_ms));
         let (fleet, records, faulty) = (
             self.fleet.clone(),
             self.records.clone(),
--- a/testbed/src/hosted_soak/mod.rs
+++ b/testbed/src/hosted_soak/mod.rs
@@ -17,6 +17,7 @@
 mod response_reader;
 pub mod strict_head;
 mod workers;
+mod zone_operator;
 
 pub use report::Report;
 
@@ -33,6 +34,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use workers::{start_provider, WorkerSlot, KEY_MARK};
+use zone_operator::{ZoneOperator, EVACUATION_MS};
 
 /// An edge counts as undisturbed if it and all cores had no disturbance for this time.
 const CONTACT_MS: u64 = 2500;
@@ -116,6 +118,7 @@
     let series = |number: u64| FaultSeries::new(fleet.clone(), records.clone(), seed * 31 + number);
     let mut tasks = vec![
         task::spawn(operator.run()),
+        task::spawn(ZoneOperator::new(fleet.clone(), records.clone(), seed * 31 + 4).run()),
         task::spawn(series(1).run_on_edges()),
         task::spawn(series(2).run_on_cores()),
         task::spawn(faults::run_on_workers(
@@ -178,13 +181,16 @@
 fn broken_rules(records: &Records, cores: usize) -> Vec<String> {
     let (requests, runs) = (lock(&records.requests), lock(&records.runs));
     let (changes, disturbances) = (lock(&records.changes), lock(&records.disturbances));
+    let zone_changes = lock(&records.zone_changes);
     let evidence = Evidence {
         requests: &requests,
         runs: &runs,
         changes: &changes,
+        zone_changes: &zone_changes,
         disturbances: &disturbances,
         cores: 0..cores,
         apply_ms: APPLY_MS,
+        evacuation_ms: EVACUATION_MS,
         contact_ms: CONTACT_MS,
     };
     let broken = RULES.iter().flat_map(|(name, rule)| {
--- a/testbed/src/hosted_soak/processes.rs
+++ b/testbed/src/hosted_soak/processes.rs
@@ -9,6 +9,7 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -48,6 +49,8 @@
     zone: usize,
     child: Mutex<Option<Child>>,
     started_before: Mutex<bool>,
+    /// Between SIGSTOP and SIGCONT.
+    paused: AtomicBool,
 }
 
 /// All processes and the folder of their settings, data and logs; kills them on drop.
@@ -83,6 +86,11 @@
         (self.ip, READY_PORT).into()
     }
 
+    /// Whether it was paused and has not been resumed since.
+    pub fn is_paused(&self) -> bool {
+        self.paused.load(Ordering::Relaxed)
+    }
+
     fn pid(&self) -> Option<u32> {
         lock(&self.child).as_ref().map(Child::id)
     }
@@ -139,6 +147,7 @@
                 zone: index % ZONES.len(),
                 child: Mutex::new(None),
                 started_before: Mutex::new(false),
+                paused: AtomicBool::new(false),
             }
         };
         Ok(ProcessFleet {
@@ -233,6 +242,7 @@
             _ => Disturbance::Unplanned,
         };
         self.records.disturb(process.index, kind);
+        process.paused.store(signal == "STOP", Ordering::Relaxed);
         let _ = Command::new("kill")
             .args(["-s", signal, &pid.to_string()])
             .status();
--- a/testbed/src/hosted_soak/records.rs
+++ b/testbed/src/hosted_soak/records.rs
@@ -44,6 +44,8 @@
     pub path: String,
     pub service: String,
     pub tenant: Option<String>,
+    /// The zone of the worker.
+    pub zone: &'static str,
     /// The worker received a key, or an authorization header.
     pub key_seen: bool,
     /// The worker crashed while it ran.
@@ -70,6 +72,15 @@
     pub state: ChangeState,
 }
 
+/// One evacuation of the zone, or its return to service, that the operator sent.
+#[derive(Clone, Copy, Debug)]
+pub struct ZoneChangeRecord {
+    pub evacuated: bool,
+    pub sent_at: Millis,
+    /// Never `Rejected`.
+    pub state: ChangeState,
+}
+
 /// An event that may excuse what a process does.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Disturbance {
@@ -97,6 +108,7 @@
     pub requests: Mutex<Vec<RequestRecord>>,
     pub runs: Mutex<Vec<RunRecord>>,
     pub changes: Mutex<Vec<ChangeRecord>>,
+    pub zone_changes: Mutex<Vec<ZoneChangeRecord>>,
     pub disturbances: Mutex<Vec<DisturbanceRecord>>,
     /// Violations found while the soak runs.
     pub violations: Mutex<Vec<String>>,
@@ -112,6 +124,7 @@
             requests: Mutex::default(),
             runs: Mutex::default(),
             changes: Mutex::default(),
+            zone_changes: Mutex::default(),
             disturbances: Mutex::default(),
             violations: Mutex::default(),
         }
--- a/testbed/src/hosted_soak/report.rs
+++ b/testbed/src/hosted_soak/report.rs
@@ -32,6 +32,8 @@
     pub runs: usize,
     pub changes: usize,
     pub acknowledged: usize,
+    /// Acknowledged evacuations of the zone and returns to service.
+    pub zone_changes: usize,
     pub signals: usize,
     pub starts_and_kills: usize,
     /// The highest memory and the highest number of descriptors of any process at the
@@ -61,6 +63,10 @@
         let acknowledged = changes
             .iter()
             .filter(|c| matches!(c.state, ChangeState::Acknowledged { .. }));
+        let zone_changes = lock(&records.zone_changes);
+        let zone_changes = zone_changes
+            .iter()
+            .filter(|c| matches!(c.state, ChangeState::Acknowledged { .. }));
         let of_kind = |kind| disturbances.iter().filter(|d| d.kind == kind).count();
         Report {
             seed: options.seed,
@@ -77,6 +83,7 @@
             runs: lock(&records.runs).len(),
             changes: changes.len(),
             acknowledged: acknowledged.count(),
+            zone_changes: zone_changes.count(),
             signals: of_kind(Disturbance::Planned),
             starts_and_kills: of_kind(Disturbance::Unplanned),
             usage: usage.map(max_usage),
@@ -97,7 +104,7 @@
         let [start, middle, end] = self.usage;
         write!(
             f,
-            "seed {} {} s {} processes {} clients: {} connections, {} requests, {} served, {} denied, {} rejected or failed, {} closed, {} timed out; {} runs; {} changes, {} acknowledged; {} SIGTERM or SIGHUP, {} other signals and starts; most memory {}/{}/{} kB, descriptors {}/{}/{}; {} violations",
+            "seed {} {} s {} processes {} clients: {} connections, {} requests, {} served, {} denied, {} rejected or failed, {} closed, {} timed out; {} runs; {} changes, {} acknowledged, {} of the zone; {} SIGTERM or SIGHUP, {} other signals and starts; most memory {}/{}/{} kB, descriptors {}/{}/{}; {} violations",
             self.seed,
             self.seconds,
             self.processes,
@@ -112,6 +119,7 @@
             self.runs,
             self.changes,
             self.acknowledged,
+            self.zone_changes,
             self.signals,
             self.starts_and_kills,
             start.resident_kb,
--- a/testbed/src/hosted_soak/workers.rs
+++ b/testbed/src/hosted_soak/workers.rs
@@ -186,6 +186,7 @@
             path: head.path().to_string(),
             service: identity.service.to_string(),
             tenant: head.get(TENANT).map(str::to_string),
+            zone: self.zone,
             key_seen,
             crashed: false,
             at: self.records.now(),
--- a/testbed/tests/hosted_soak.rs
+++ b/testbed/tests/hosted_soak.rs
@@ -6,6 +6,7 @@
 use testbed::hosted_soak::plan::{key, Plan, MODEL_SERVICE, PAGE_SERVICE};
 use testbed::hosted_soak::records::{
     ChangeRecord, ChangeState, Disturbance, DisturbanceRecord, Ending, RequestRecord, RunRecord,
+    ZoneChangeRecord,
 };
 use testbed::hosted_soak::strict_head::syntax_fault;
 use testbed::hosted_soak::{run, SoakOptions};
@@ -29,6 +30,7 @@
     assert_eq!(report.violations, Vec::<String>::new(), "logs in {logs}");
     assert!(report.served > 1000 && report.denied > 100, "{report}");
     assert!(report.acknowledged > 10 && report.signals > 5, "{report}");
+    assert!(report.zone_changes > 1, "{report}");
     let _ = std::fs::remove_dir_all(root);
 }
 
@@ -38,6 +40,7 @@
     requests: Vec<RequestRecord>,
     runs: Vec<RunRecord>,
     changes: Vec<ChangeRecord>,
+    zone_changes: Vec<ZoneChangeRecord>,
     disturbances: Vec<DisturbanceRecord>,
 }
 
@@ -61,6 +64,7 @@
             path: path.into(),
             service: service.into(),
             tenant: Some("tenant1".into()),
+            zone: "c",
             key_seen: false,
             crashed: false,
             at: 20_010,
@@ -70,6 +74,7 @@
             sent_at: 10,
             state: ChangeState::Acknowledged { at: 50 },
         }],
+        zone_changes: Vec::new(),
         disturbances: Vec::new(),
     }
 }
@@ -80,9 +85,11 @@
             requests: &self.requests,
             runs: &self.runs,
             changes: &self.changes,
+            zone_changes: &self.zone_changes,
             disturbances: &self.disturbances,
             cores: 0..3,
             apply_ms: 4000,
+            evacuation_ms: 5000,
             contact_ms: 2500,
         };
         !rule(&evidence).is_empty()
@@ -263,3 +270,54 @@
     sample.requests[0].ended_at = 21_000;
     assert!(sample.violates(checks::answered));
 }
+
+#[test]
+fn a_run_in_an_evacuated_zone_is_detected() {
+    let change = |evacuated, sent_at| ZoneChangeRecord {
+        evacuated,
+        sent_at,
+        state: ChangeState::Acknowledged { at: sent_at + 10 },
+    };
+    let evacuated = change(true, 14_000);
+    let mut sample = sample("/page/1", PAGE_SERVICE);
+    assert!(!sample.violates(checks::evacuated));
+    sample.zone_changes = vec![evacuated];
+    assert!(sample.violates(checks::evacuated));
+    // returned to service, or a return that may be in force
+    let undecided = ChangeState::Undecided;
+    for state in [ChangeState::Acknowledged { at: 19_000 }, undecided] {
+        let returned = ZoneChangeRecord {
+            state,
+            ..change(false, 18_000)
+        };
+        sample.zone_changes = vec![evacuated, returned];
+        assert!(!sample.violates(checks::evacuated));
+        // returned before the evacuation that is in force
+        let earlier = ZoneChangeRecord {
+            sent_at: 13_000,
+            ..returned
+        };
+        sample.zone_changes = vec![change(true, 1000), earlier, evacuated];
+        assert!(sample.violates(checks::evacuated));
+    }
+    // not acknowledged, or too recently
+    let unacknowledged = ZoneChangeRecord {
+        state: undecided,
+        ..evacuated
+    };
+    for change in [unacknowledged, change(true, 15_500)] {
+        sample.zone_changes = vec![change];
+        assert!(!sample.violates(checks::evacuated));
+    }
+    // another zone, and an edge that is out of contact
+    sample.zone_changes = vec![evacuated];
+    sample.runs[0].zone = "a";
+    assert!(!sample.violates(checks::evacuated));
+    sample.runs[0].zone = "c";
+    sample.disturbances.push(DisturbanceRecord {
+        process: 3,
+        kind: Disturbance::Unplanned,
+        at: 19_000,
+    });
+    assert!(!sample.violates(checks::evacuated));
+}
