--- a/testbed/tests/site/evacuations.rs
+++ b/testbed/tests/site/evacuations.rs
@@ -3,7 +3,9 @@
 
 use super::*;
 use sorreldoor::invariants::{disable_only, Invariant};
+use sorreldoor::replicated_state::Command;
 use sorreldoor::types::Millis;
+use sorreldoor::wire::ProposalOutcome;
 
 const ZONE: u16 = 0;
 /// Pause before an operator sends a call again.
@@ -224,6 +226,45 @@
     assert!(detected.is_some(), "evacuate-counted was not detected");
 }
 
+/// Guards against taking the oldest count that is kept for that of an even older time.
+#[test]
+fn a_call_older_than_the_kept_history_has_no_effect() {
+    let mut world = ready_world(5486);
+    let core = world.leader().unwrap_or(0);
+    let call = world.evacuate_late(core, ZONE, true, 300_000);
+    for evacuated in [true, false] {
+        evacuate_until_acknowledged(&mut world, core, evacuated);
+    }
+    world.run_for(200_000);
+    for evacuated in [true, false] {
+        evacuate_until_acknowledged(&mut world, core, evacuated);
+    }
+    world.run_for(120_000);
+    assert_eq!(world.changes[call].outcome, Some(ProposalOutcome::Unknown));
+    assert_evacuated(&world, false, "an old call");
+}
+
+/// Guards against a call that would hold for whatever state it meets.
+#[test]
+fn an_evacuation_without_a_condition_is_rejected() {
+    let mut world = ready_world(5487);
+    let evacuated = true;
+    let (core, edge) = (world.cores()[0], world.cores().len());
+    for process in [core, edge] {
+        let command = Command::EvacuateUnversioned {
+            zone: ZONE,
+            evacuated,
+        };
+        let change = world.change(process, command);
+        let end = world.now + 5000;
+        world.run_until(end, |world| world.changes[change].outcome.is_some());
+        let outcome = &world.changes[change].outcome;
+        assert_eq!(*outcome, Some(ProposalOutcome::Rejected));
+    }
+    world.run_for(SETTLE_MS);
+    assert_evacuated(&world, false, "without a condition");
+}
+
 /// A zone that changes again and again is never stuck: each call is acknowledged.
 #[test]
 fn every_call_of_a_series_is_acknowledged() {
