Log and measure an edge whose state no core confirms: E250, E251, E254, lease_valid

An edge of hosted routes logged nothing after E104 when it found no core, so that the incident's hypotheses (knows no living core; hangs on a dead session; gets unconfirmed grants) looked alike. E254 names the cores known, whether each is connected, and the answers without confirmation. No change of logic; grants moved to a file of their own.

--- a/sorreldoor/src/gateway/controller.rs
+++ b/sorreldoor/src/gateway/controller.rs
@@ -257,6 +257,9 @@
             SubscriptionEffect::Suspended(cause) => self.log_event(LogEvent::ClockJump, cause),
             SubscriptionEffect::LeaseExpired => self.log_event(LogEvent::LeaseExpired, ""),
             SubscriptionEffect::LeaseRenewed => self.log_event(LogEvent::LeaseRenewed, ""),
+            SubscriptionEffect::NoConfirmation(details) => {
+                self.log_event(LogEvent::NoConfirmation, details)
+            }
         }
     }
 
--- a/sorreldoor/src/log_events.rs
+++ b/sorreldoor/src/log_events.rs
@@ -108,14 +108,16 @@
         "nothing; expected once after a blank core joined";
     ClaimTableFull 246 Warn "claim table is full; new request ids are rejected"
         "raise `max_claims`, or have clients send fewer requests under ids of their own";
-    LeaseExpired 250 Warn "lease expired; new requests are rejected"
-        "look at this edge's network path to the cores and at the Global Leader";
-    LeaseRenewed 251 Info "lease renewed; requests are accepted"
+    LeaseExpired 250 Warn "lease expired"
+        "look at this edge's network path to the cores and at the Global Leader; a gateway rejects new requests, a node of hosted routes serves its last configuration";
+    LeaseRenewed 251 Info "lease renewed"
         "nothing";
     ConfigurationApplied 252 Info "configuration applied"
         "nothing";
     ConfigurationUnreadable 253 Error "a received configuration could not be read and is not applied"
         "run this node with the release of the other nodes";
+    NoConfirmation 254 Warn "no core confirms this edge's state"
+        "if none of the cores named is connected, look at the network and at whether they still exist; if they answer without confirmation, look for the Global Leader";
     WorkerListChanged 260 Info "worker list changed"
         "nothing";
     WorkerListUnavailable 261 Warn "worker list of the platform cannot be read"
--- a/sorreldoor/src/metrics/edge_metrics.rs
+++ b/sorreldoor/src/metrics/edge_metrics.rs
@@ -8,6 +8,8 @@
 pub struct EdgeFigures {
     /// It has a configuration and workers, and is not shutting down.
     pub ready: bool,
+    /// Its lease is valid: a core has confirmed its state in time.
+    pub lease_valid: bool,
     /// Version of the applied configuration.
     pub configuration_version: u64,
     /// Edges that are ready to serve clients.
@@ -49,6 +51,11 @@
         "1 if this edge has a configuration and workers, and is not shutting down.",
         |f| f.ready.into(),
     ),
+    gauge(
+        "lease_valid",
+        "1 if a core has confirmed this edge's state within the length of the lease.",
+        |f| f.lease_valid.into(),
+    ),
     gauge(
         "configuration_version",
         "Version of the configuration that is applied; 0 before the first.",
--- a/sorreldoor/src/proxy/controller.rs
+++ b/sorreldoor/src/proxy/controller.rs
@@ -146,6 +146,7 @@
     pub fn figures(&self) -> EdgeFigures {
         EdgeFigures {
             ready: self.ready(),
+            lease_valid: self.subscription.has_lease(self.now),
             configuration_version: self.view.version,
             ready_edges: self.ready_edges().len() as u64,
             counts: self.balancer.counts(),
@@ -215,7 +216,11 @@
                 self.log_event(LogEvent::SessionLost, "no answer in time")
             }
             SubscriptionEffect::Suspended(detail) => self.log_event(LogEvent::ClockJump, detail),
-            SubscriptionEffect::LeaseExpired | SubscriptionEffect::LeaseRenewed => {}
+            SubscriptionEffect::LeaseExpired => self.log_event(LogEvent::LeaseExpired, ""),
+            SubscriptionEffect::LeaseRenewed => self.log_event(LogEvent::LeaseRenewed, ""),
+            SubscriptionEffect::NoConfirmation(details) => {
+                self.log_event(LogEvent::NoConfirmation, details)
+            }
         }
     }
 
--- a/sorreldoor/src/subscription/mod.rs
+++ b/sorreldoor/src/subscription/mod.rs
@@ -4,15 +4,20 @@
 //! gets a renewal (a hedge), and the session moves to the first that grants one.
 
 mod candidates;
+mod grants;
+mod isolation;
 mod lease;
 
+pub use grants::GrantOutcome;
+
 use crate::invariants::{is_disabled, Invariant};
 use crate::net::Conn;
 use crate::pacing::Pacing;
 use crate::types::Millis;
 use crate::wire::{KnownVersions, Unverified};
 use candidates::Candidate;
-use lease::{Lease, Renewal};
+use isolation::Isolation;
+use lease::Lease;
 use std::net::SocketAddr;
 
 /// Time between two events above which the process counts as suspended.
@@ -64,21 +69,11 @@
     unverified_after_ms: Option<Millis>,
     /// Whether any core has granted a confirmed renewal since the start.
     was_confirmed: bool,
+    isolation: Isolation,
     /// Effects of a grant, returned by the next `tick`.
     pending_effects: Vec<SubscriptionEffect>,
 }
 
-/// What the edge does with a grant.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum GrantOutcome {
-    /// The state is confirmed and the lease extended; the delta is applied.
-    Confirmed,
-    /// Unconfirmed state, accepted only by an edge without confirmed state: as `Confirmed`.
-    Unverified,
-    /// The lease is not extended, and the delta is ignored.
-    Rejected,
-}
-
 /// What the owner of the subscription must do.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum SubscriptionEffect {
@@ -101,6 +96,9 @@
     Suspended(String),
     /// Log that the lease has expired.
     LeaseExpired,
+    /// Log that no core has confirmed this edge's state for long, with the cores that
+    /// were tried.
+    NoConfirmation(String),
     /// Log that the lease is valid again.
     LeaseRenewed,
 }
@@ -130,6 +128,7 @@
             started_at: now,
             unverified_after_ms: None,
             was_confirmed: false,
+            isolation: Isolation::new(now),
             pending_effects: Vec::new(),
         }
     }
@@ -255,6 +254,7 @@
             effects.push(self.renew(conn, now));
         }
         self.renew_candidates(now, &mut effects);
+        self.report_isolation(now, &mut effects);
         effects
     }
 
@@ -319,62 +319,6 @@
         }
     }
 
-    /// Handles the grant of renewal `number`; `is_confirmed` by the core's leader,
-    /// and with a delta that updates the replicated state if `has_document`.
-    pub fn on_grant(
-        &mut self,
-        number: u64,
-        is_confirmed: bool,
-        has_document: bool,
-        now: Millis,
-    ) -> GrantOutcome {
-        let Some(renewal) = self.lease.find(number) else {
-            return GrantOutcome::Rejected;
-        };
-        if is_confirmed {
-            self.on_confirmed(renewal, now);
-            return GrantOutcome::Confirmed;
-        }
-        let accepts_unverified = self.accepted_unverified(now) != Unverified::None;
-        if accepts_unverified && (has_document || self.known_versions.record > 0) {
-            // a confirmed grant may follow under the same number
-            self.lease.extend(renewal.sent_at);
-            return GrantOutcome::Unverified;
-        }
-        self.lease.remove_answered(renewal);
-        if self.conn == Some(renewal.conn) {
-            // this core has no majority: try another one at once
-            self.hedge_at = self.hedge_at.min(now);
-        }
-        GrantOutcome::Rejected
-    }
-
-    fn on_confirmed(&mut self, renewal: Renewal, now: Millis) {
-        self.lease.remove_answered(renewal);
-        self.lease.extend(renewal.sent_at);
-        self.was_confirmed = true;
-        let interval = self.renew_interval(now);
-        self.hedge_at = self
-            .hedge_at
-            .max(renewal.sent_at + interval + self.hedge_delay());
-        self.move_session(renewal.conn);
-        // the session's next renewal is due one interval after this one
-        self.renew_at = self.renew_at.max(renewal.sent_at + interval);
-    }
-
-    /// Handles a grant from a core that has newer state and could not send it
-    /// yet. It shows that the core is alive, but does not extend the lease.
-    pub fn on_withheld_grant(&mut self, number: u64, now: Millis) {
-        let Some(renewal) = self.lease.find(number) else {
-            return;
-        };
-        self.lease.remove_answered(renewal);
-        if self.conn == Some(renewal.conn) {
-            self.hedge_at = self.hedge_at.max(now + self.hedge_delay());
-            self.renew_at = self.renew_at.min(now + URGENT_MS);
-        }
-    }
-
     /// Replaces the cores by those of a delta, given by address and region.
     pub fn update_cores(&mut self, version: u64, cores: &[(String, u8)], own_region: u8) {
         self.known_versions.cores = version;
