--- a/testbed/src/site/mod.rs
+++ b/testbed/src/site/mod.rs
@@ -32,6 +32,7 @@
 pub use fault_injection::FaultMix;
 pub use half_open::HalfOpenFaults;
 pub use network::{ClaimsTraffic, Partition};
+use processes::{seed_address, SEED_CORES};
 pub use processes::{Process, Role};
 pub use processor::CpuCosts;
 pub use proposals::{OperatorFaults, Proposals, INITIAL_STATE};
@@ -46,6 +47,7 @@
 use sorreldoor::pacing::Pacing;
 use sorreldoor::types::Millis;
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 /// An action scheduled for a point of virtual time.
@@ -100,6 +102,8 @@
     pub pacing: Pacing,
     /// Processor time that events cost cores; `None`: events are instantaneous.
     pub cpu_costs: Option<CpuCosts>,
+    /// The seeds in the settings files, which a process reads at its start.
+    pub settings_seeds: Vec<SocketAddr>,
     /// Only the seed cores bootstrap the site; others join it as members.
     pub only_seeds_bootstrap: bool,
     /// How long a core must be lost before another takes its place.
@@ -182,6 +186,7 @@
             max_claims: 200_000,
             pacing: Pacing::default(),
             cpu_costs: None,
+            settings_seeds: (0..SEED_CORES).map(seed_address).collect(),
             only_seeds_bootstrap: false,
             replace_after_ms: 10_000,
             tolerated_core_losses: 1,
--- a/testbed/src/site/processes.rs
+++ b/testbed/src/site/processes.rs
@@ -19,7 +19,7 @@
 const FIRST_SEED_PORT: u16 = 7000;
 /// Ports of cores that replace lost ones, offset by their process index.
 const FIRST_REPLACEMENT_PORT: u16 = 7100;
-const SEED_CORES: u16 = 3;
+pub(super) const SEED_CORES: u16 = 3;
 const EDGE_TICK_MS: Millis = 20;
 const REGISTRY_POLL_MS: Millis = 500;
 /// The processes of a new site start within this time of each other.
@@ -72,7 +72,9 @@
     pub attempts: BTreeMap<u64, Attempt>,
 }
 
-fn seed_address(seed: u16) -> SocketAddr {
+/// The address of the seed core with this number.
+#[must_use]
+pub(super) fn seed_address(seed: u16) -> SocketAddr {
     ([127, 0, 0, 1], FIRST_SEED_PORT + seed).into()
 }
 
@@ -190,7 +192,7 @@
         let config = ControllerConfig {
             own_hello: me,
             site: self.site.clone(),
-            seed_addresses: (0..SEED_CORES).map(seed_address).collect(),
+            seed_addresses: self.settings_seeds.clone(),
             founder_count: usize::from(SEED_CORES),
             membership_policy: MembershipPolicy::tolerating(
                 self.tolerated_core_losses,
@@ -212,7 +214,6 @@
 
     fn new_edge_controller(&self, process: usize, me: Hello) -> EdgeController {
         let state = &self.processes[process];
-        let seeds: Vec<SocketAddr> = (0..SEED_CORES).map(seed_address).collect();
         let cluster = ClusterView::new(
             self.site.clone(),
             state.name.clone(),
@@ -220,7 +221,7 @@
             state.region,
         );
         let (now, wall) = (self.monotonic_ms(process), self.wall(process));
-        let subscription = CoreSubscription::new(&seeds, self.lease_ms, now, wall)
+        let subscription = CoreSubscription::new(&self.settings_seeds, self.lease_ms, now, wall)
             .with_node_name(&state.name)
             .with_pacing(&self.pacing);
         EdgeController::new(me, cluster, subscription)
--- a/testbed/tests/site/main.rs
+++ b/testbed/tests/site/main.rs
@@ -1,6 +1,7 @@
 //! Simulated complete sites under every kind of fault: no invariant is violated, and
 //! service recovers within its bounds.
 
+mod absences;
 mod changes;
 mod claims;
 mod configurations;
