A node that reaches no core it knows asks other nodes and reads its seeds again

Callers got 404 for routes that were acknowledged minutes before, from an edge that had been frozen for 20 s while each core was replaced. Cause: an edge replaced its seeds by the voters it was last sent, and asked nobody else; a core knew its members and the seeds of its start alone; no process read the seeds again. Now an edge without a confirmed grant for 2 s, or a core without a leader for 1 s beyond two election time-outs, searches (core_search.rs): it reads the seeds in its settings again, and asks two of the edges it knew every half second; edges accept frames for that (on the platform at the second port of the range) and answer with the cores' addresses. What is found is only tried: a core still has to confirm. Ruled out: keeping the seeds beside the voters (the incident's seeds were gone too); cores that dial edges (new cores do not know an edge that was away). Protocol version 8; 16 edges at most are listed with an address, as each edge is sent the list.

--- a/sorreldoor/src/control_plane/bootstrap/peer_addresses.rs
+++ b/sorreldoor/src/control_plane/bootstrap/peer_addresses.rs
@@ -21,6 +21,8 @@
     seeds: Vec<SocketAddr>,
     /// The members' addresses as received from a founded core.
     discovered: BTreeSet<SocketAddr>,
+    /// Addresses that a search for the cores has found.
+    found: BTreeSet<SocketAddr>,
     /// Addresses to which this core keeps a connection.
     connected: BTreeSet<SocketAddr>,
 }
@@ -32,6 +34,7 @@
         PeerAddresses {
             seeds,
             discovered: BTreeSet::new(),
+            found: BTreeSet::new(),
             connected: BTreeSet::new(),
         }
     }
@@ -41,14 +44,22 @@
         self.discovered = addresses;
     }
 
+    /// Replaces the addresses that a search has found; returns whether they changed.
+    pub fn found(&mut self, addresses: &[SocketAddr]) -> bool {
+        let found: BTreeSet<SocketAddr> = addresses.iter().copied().collect();
+        let changed = found != self.found;
+        self.found = found;
+        changed
+    }
+
     /// Drops a seed that turned out to be this core's own address.
     pub fn remove_own(&mut self, own: SocketAddr) {
         self.seeds.retain(|seed| *seed != own);
         self.connected.remove(&own);
     }
 
-    /// Recomputes the wanted addresses: the seeds and every other member, or the
-    /// discovered addresses while this core has no list of members. Returns the
+    /// Recomputes the wanted addresses: the seeds, what a search has found, and every
+    /// other member, or the discovered addresses while this core has no list of members. Returns the
     /// difference to those in use.
     pub fn reconcile(
         &mut self,
@@ -65,6 +76,7 @@
             wanted.extend(&self.discovered);
         }
         wanted.extend(&self.seeds);
+        wanted.extend(&self.found);
         if let Ok(own) = own_address.parse() {
             wanted.remove(&own);
         }
--- a/sorreldoor/src/control_plane/controller/frames.rs
+++ b/sorreldoor/src/control_plane/controller/frames.rs
@@ -14,6 +14,9 @@
     pub(super) fn on_net(&mut self, event: NetEvent) {
         match event {
             NetEvent::Up { conn, dialled } => {
+                if self.ask_peer(conn, dialled) {
+                    return;
+                }
                 self.connections.opened(conn, dialled, self.now);
                 let hello = self.own_hello.clone();
                 self.send(conn, Payload::Hello(hello));
@@ -39,6 +42,11 @@
         if let Payload::Hello(hello) = payload {
             return self.on_hello(conn, hello);
         }
+        match payload {
+            Payload::CoreAddressesRequest => return self.send_core_addresses(conn),
+            Payload::CoreAddresses(answer) => return self.on_core_addresses(conn, &answer),
+            _ => {}
+        }
         match self.connections.hello(conn).cloned() {
             Some(from) if from.core => self.on_core_frame(conn, from, payload),
             Some(_) => self.on_edge_frame(conn, payload),
--- a/sorreldoor/src/control_plane/controller/mod.rs
+++ b/sorreldoor/src/control_plane/controller/mod.rs
@@ -5,6 +5,7 @@
 mod bootstrap;
 mod changes;
 mod consensus;
+mod core_search;
 mod edges;
 mod frames;
 mod idempotency_keys;
@@ -33,6 +34,7 @@
 use super::zone_history::ZoneHistory;
 use crate::configuration::Site;
 use crate::consensus::{Consensus, Event, Timing};
+use crate::core_search::CoreSearch;
 use crate::discovery::Loads;
 use crate::log_events::LogEvent;
 use crate::net::Conn;
@@ -60,6 +62,9 @@
     pub(super) consensus: Option<Consensus<ReplicatedState>>,
     bootstrap: Bootstrap,
     peer_addresses: PeerAddresses,
+    search: CoreSearch,
+    /// When this core last had a leader, or as a joining core a founded core.
+    in_contact_at: Millis,
     pub(super) connections: Connections,
     idempotency: Idempotency,
     membership: Membership,
@@ -182,6 +187,7 @@
             }
             ControllerEvent::WorkerListRead(result) => self.on_worker_list(result),
             ControllerEvent::LoadsPolled { epoch, loads } => self.on_loads_polled(epoch, loads),
+            ControllerEvent::SeedsRead(seeds) => self.on_seeds(seeds),
             ControllerEvent::Stop => self.stop(),
         }
     }
@@ -244,6 +250,7 @@
             }
             Some(_) => self.tick_singleton(),
         }
+        self.tick_core_search();
         self.read_first_worker_list();
         self.tick_sessions();
         self.tick_idempotency();
--- a/sorreldoor/src/control_plane/controller/start.rs
+++ b/sorreldoor/src/control_plane/controller/start.rs
@@ -16,6 +16,7 @@
 use crate::control_plane::singleton::SingletonRole;
 use crate::control_plane::worker_list::WorkerListCache;
 use crate::control_plane::zone_history::ZoneHistory;
+use crate::core_search::CoreSearch;
 use crate::quota::UsageTracker;
 use crate::replicated_state::ReplicatedState;
 use crate::types::Millis;
@@ -61,6 +62,8 @@
             seed: config.seed,
             consensus: None,
             peer_addresses: PeerAddresses::new(config.seed_addresses),
+            search: CoreSearch::default(),
+            in_contact_at: now,
             connections: Connections::default(),
             distribution: Distribution::default(),
             worker_list: WorkerListCache::new(config.worker_poll_ms, now),
--- a/sorreldoor/src/control_plane/daemon.rs
+++ b/sorreldoor/src/control_plane/daemon.rs
@@ -249,6 +249,11 @@
             }
             ControllerEffect::Disconnect(address) => self.net.undial(address),
             ControllerEffect::Close(conn) => self.net.close(conn),
+            ControllerEffect::ReadSeeds => {
+                if let Some(seeds) = self.settings.read_seeds() {
+                    let _ = self.events.try_send(ControllerEvent::SeedsRead(seeds));
+                }
+            }
             ControllerEffect::ChangeDone {
                 request_id,
                 outcome,
--- a/sorreldoor/src/control_plane/events.rs
+++ b/sorreldoor/src/control_plane/events.rs
@@ -114,6 +114,8 @@
         /// The load of each worker polled.
         loads: Vec<Load>,
     },
+    /// The seeds in the settings, as read for `ControllerEffect::ReadSeeds`.
+    SeedsRead(Vec<SocketAddr>),
     /// The process received a signal to stop.
     Stop,
 }
@@ -134,6 +136,8 @@
     Disconnect(SocketAddr),
     /// Close one connection.
     Close(Conn),
+    /// Read the seeds from the settings again; `ControllerEvent::SeedsRead` has them.
+    ReadSeeds,
     /// The outcome of a change that was requested locally.
     ChangeDone {
         /// Id of the event that requested it.
--- a/sorreldoor/src/control_plane/sessions.rs
+++ b/sorreldoor/src/control_plane/sessions.rs
@@ -16,6 +16,8 @@
 const MIN_MERGE_INTERVAL_MS: Millis = 50;
 /// Minimum interval between two reports of changed sessions.
 const MIN_REPORT_INTERVAL_MS: Millis = 100;
+/// How many edges are listed with the address at which they tell other nodes the cores.
+const MAX_LISTED_PEERS: usize = 16;
 /// An unchanged report is sent again after this time.
 const REPORT_REFRESH_MS: Millis = 5000;
 
@@ -258,8 +260,7 @@
             by_node.insert(session.hello.node.clone(), session);
         }
         let merged: Vec<EdgeSession> = by_node.into_values().collect();
-        let to_endpoint = |session: &EdgeSession| endpoint(session, &is_evacuated);
-        let endpoints: Vec<EdgeEndpoint> = merged.iter().map(to_endpoint).collect();
+        let endpoints = endpoints(&merged, &is_evacuated);
         if endpoints != *self.endpoints.endpoints {
             let encoded = encode(&endpoints);
             self.endpoints = EndpointList {
@@ -283,6 +284,21 @@
     }
 }
 
+/// The list of endpoints. Few of them have the address at which they tell other nodes
+/// the cores, since every edge is sent the list.
+fn endpoints(sessions: &[EdgeSession], is_evacuated: impl Fn(u16) -> bool) -> Vec<EdgeEndpoint> {
+    let peer_interval = sessions.len().div_ceil(MAX_LISTED_PEERS).max(1);
+    let to_endpoint = |(index, session): (usize, &EdgeSession)| {
+        let is_peer = index % peer_interval == 0;
+        let addr = session.hello.addr.clone();
+        EdgeEndpoint {
+            addr: if is_peer { addr } else { String::new() },
+            ..endpoint(session, &is_evacuated)
+        }
+    };
+    sessions.iter().enumerate().map(to_endpoint).collect()
+}
+
 /// The form of an edge in the endpoint list.
 fn endpoint(session: &EdgeSession, is_evacuated: impl Fn(u16) -> bool) -> EdgeEndpoint {
     let hello = &session.hello;
@@ -295,6 +311,7 @@
         region: hello.region,
         http: hello.http.clone(),
         ready: session.lease,
+        addr: String::new(),
         running: if has_running_count {
             session.running
         } else {
--- a/sorreldoor/src/gateway/controller.rs
+++ b/sorreldoor/src/gateway/controller.rs
@@ -127,6 +127,7 @@
                 let status = self.status().encode();
                 self.effects.push(EdgeEffect::Status(request_id, status));
             }
+            EdgeEvent::SeedsRead(seeds) => self.pull.on_seeds(seeds, self.now),
             EdgeEvent::Shutdown => {
                 self.shutting_down = true;
                 self.log_event(LogEvent::ShuttingDown, "edge");
@@ -253,6 +254,10 @@
                 number,
                 unverified,
             } => self.send_renewal(conn, number, unverified),
+            SubscriptionEffect::AskCores(conn) => self
+                .effects
+                .push(EdgeEffect::Send(conn, Payload::CoreAddressesRequest)),
+            SubscriptionEffect::ReadSeeds => self.effects.push(EdgeEffect::ReadSeeds),
             SubscriptionEffect::SessionReplaced => self.log_event(LogEvent::SessionLost, "silent"),
             SubscriptionEffect::Suspended(cause) => self.log_event(LogEvent::ClockJump, cause),
             SubscriptionEffect::LeaseExpired => self.log_event(LogEvent::LeaseExpired, ""),
--- a/sorreldoor/src/gateway/event.rs
+++ b/sorreldoor/src/gateway/event.rs
@@ -83,6 +83,8 @@
         /// The caller, answered by [`EdgeEffect::Status`].
         request_id: RequestId,
     },
+    /// The seeds in the settings, as read for [`EdgeEffect::ReadSeeds`].
+    SeedsRead(Vec<SocketAddr>),
     /// Begin a graceful shutdown.
     Shutdown,
 }
@@ -96,6 +98,8 @@
     Connect(SocketAddr),
     /// Stop connecting to this core.
     Disconnect(SocketAddr),
+    /// Read the seeds from the settings again; [`EdgeEvent::SeedsRead`] has them.
+    ReadSeeds,
     /// An effect of the request table, on one request or attempt.
     Request(RequestEffect),
     /// The body of the request may be read, with this profile.
--- a/sorreldoor/src/gateway/run.rs
+++ b/sorreldoor/src/gateway/run.rs
@@ -62,6 +62,7 @@
         EdgeEvent::Net as fn(NetEvent) -> EdgeEvent,
         settings.max_connections,
     );
+    task::block_on(crate::run::listen_for_nodes(&net, &settings))?;
     let shutdown = http::ShutdownHandle::default();
     let api = Api {
         settings: settings.clone(),
@@ -157,6 +158,11 @@
             }
             EdgeEffect::Connect(addr) => self.net.dial(addr, self.settings.dial_address(addr)),
             EdgeEffect::Disconnect(addr) => self.net.undial(addr),
+            EdgeEffect::ReadSeeds => {
+                if let Some(seeds) = self.settings.read_seeds() {
+                    let _ = self.events.try_send(EdgeEvent::SeedsRead(seeds));
+                }
+            }
             EdgeEffect::Admitted(request_id, profile) => {
                 self.calls.reply(request_id, Reply::Admitted(profile))
             }
--- a/sorreldoor/src/gateway/session.rs
+++ b/sorreldoor/src/gateway/session.rs
@@ -22,14 +22,20 @@
     }
 
     fn on_connected(&mut self, conn: Conn, dialled: Option<SocketAddr>) {
-        let hello = Payload::Hello(self.hello.clone());
-        self.effects.push(EdgeEffect::Send(conn, hello));
+        // a node that connects to an edge only asks for the cores
         let Some(addr) = dialled else { return };
+        let is_core = !self.pull.is_asked_peer(addr);
+        if is_core {
+            let hello = Payload::Hello(self.hello.clone());
+            self.effects.push(EdgeEffect::Send(conn, hello));
+        }
         for effect in self.pull.on_connected(conn, addr, self.now) {
             self.on_subscription_effect(effect);
         }
-        self.log_event(LogEvent::SessionEstablished, addr.to_string());
-        self.report_sent_ids(conn);
+        if is_core {
+            self.log_event(LogEvent::SessionEstablished, addr.to_string());
+            self.report_sent_ids(conn);
+        }
     }
 
     fn on_disconnected(&mut self, conn: Conn) {
@@ -75,6 +81,15 @@
                 self.effects.push(EdgeEffect::Send(conn, pong));
             }
             Payload::WorkerRegistry(registry) => self.apply_registry(registry),
+            Payload::CoreAddressesRequest => {
+                let answer = Payload::CoreAddresses(self.pull.core_addresses(self.now));
+                self.effects.push(EdgeEffect::Send(conn, answer));
+            }
+            Payload::CoreAddresses(answer) => {
+                for effect in self.pull.on_core_addresses(conn, &answer, self.now) {
+                    self.on_subscription_effect(effect);
+                }
+            }
             _ => {}
         }
     }
@@ -117,6 +132,7 @@
         }
         if let Some(edge_sessions) = delta.edge_sessions {
             self.pull.known_versions.edge_sessions = edge_sessions.0;
+            self.pull.update_peers(&edge_sessions.1);
             self.cluster.apply_edge_sessions(edge_sessions);
         }
         if let Some((version, cores)) = delta.cores {
--- a/sorreldoor/src/invariants.rs
+++ b/sorreldoor/src/invariants.rs
@@ -31,6 +31,10 @@
     LeaseVoidAfterSuspension "woken";
     // A read is answered as current only after a majority has confirmed the leader.
     QuorumConfirmedRead "proof";
+    // A node that reaches none of the cores it knows looks for others.
+    IsolatedNodeSearches "isolated-search";
+    // A request is rejected as the configuration demands only while a core has confirmed it.
+    ConfirmedRejection "confirmed-rejection";
     // A lease renewal without a timely response is hedged to one more core.
     HedgedRenewal "hedge";
     // A leader without a live quorum steps down.
--- a/sorreldoor/src/lib.rs
+++ b/sorreldoor/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod configuration;
 pub mod consensus;
 pub mod control_plane;
+pub mod core_search;
 pub mod ctl;
 pub mod discovery;
 pub mod doctor;
--- a/sorreldoor/src/main.rs
+++ b/sorreldoor/src/main.rs
@@ -2,7 +2,7 @@
 //! the doctor.
 
 use gumdrop::Options;
-use sorreldoor::settings::{Overrides, Role, Settings};
+use sorreldoor::settings::{Overrides, Role, SeedSource, Settings};
 use sorreldoor::{ctl, doctor};
 use std::path::PathBuf;
 use std::process::exit;
@@ -113,7 +113,7 @@
         seeds: args.seed,
     };
     let file = args.settings.unwrap_or_default();
-    let settings = match Settings::load(&file, &overrides, role) {
+    let mut settings = match Settings::load(&file, &overrides, role) {
         Ok(settings) => settings,
         Err(faults) => {
             for fault in faults {
@@ -126,6 +126,10 @@
         println!("settings are good");
         return 0;
     }
+    settings.seed_source = Some(SeedSource::new(move || {
+        let settings = Settings::load(&file, &overrides, role);
+        settings.ok().map(|settings| settings.seeds)
+    }));
     let result = match role {
         Role::Core => sorreldoor::control_plane::run(settings),
         Role::Edge => sorreldoor::gateway::run(settings),
--- a/sorreldoor/src/proxy/controller.rs
+++ b/sorreldoor/src/proxy/controller.rs
@@ -29,6 +29,8 @@
     Tick,
     /// A connection to a core was opened or closed, or a frame arrived.
     Net(NetEvent),
+    /// The seeds in the settings, as read for `ControllerEffect::ReadSeeds`.
+    SeedsRead(Vec<SocketAddr>),
     /// The process was signalled to shut down.
     Stop,
 }
@@ -44,6 +46,8 @@
     Connect(SocketAddr),
     /// Close the connection to this core, and do not reconnect.
     Disconnect(SocketAddr),
+    /// Read the seeds from the settings again; `ControllerEvent::SeedsRead` has them.
+    ReadSeeds,
     /// Write an event and its details to the event log.
     Log(LogEvent, String),
 }
@@ -52,7 +56,7 @@
 pub struct ProxyController {
     identity: Hello,
     site: Arc<Site>,
-    subscription: CoreSubscription,
+    pub(super) subscription: CoreSubscription,
     /// Chooses workers for requests; configured from the replicated state.
     pub balancer: Balancer,
     /// Requests in flight, as reported to cores; set by the daemon before each step.
@@ -89,6 +93,7 @@
                 self.report_usage();
             }
             ControllerEvent::Net(event) => self.on_net(event),
+            ControllerEvent::SeedsRead(seeds) => self.subscription.on_seeds(seeds, self.now),
             ControllerEvent::Stop => {
                 self.draining = true;
                 self.log_event(LogEvent::ShuttingDown, "edge");
@@ -212,6 +217,8 @@
                 number,
                 unverified,
             } => self.send_renewal(conn, number, unverified),
+            SubscriptionEffect::AskCores(conn) => self.send(conn, Payload::CoreAddressesRequest),
+            SubscriptionEffect::ReadSeeds => self.effects.push(ControllerEffect::ReadSeeds),
             SubscriptionEffect::SessionReplaced => {
                 self.log_event(LogEvent::SessionLost, "no answer in time")
             }
@@ -255,18 +262,29 @@
                     let admission = &mut self.balancer.admission;
                     self.usage_reporter.on_update(conn, &update, admission);
                 }
+                Payload::CoreAddressesRequest => {
+                    let answer = self.subscription.core_addresses(self.now);
+                    self.send(conn, Payload::CoreAddresses(answer));
+                }
+                Payload::CoreAddresses(answer) => {
+                    let effects = self.subscription.on_core_addresses(conn, &answer, self.now);
+                    effects.into_iter().for_each(|e| self.on_subscription(e));
+                }
                 _ => {}
             },
         }
     }
 
     fn on_connected(&mut self, conn: Conn, dialled: Option<SocketAddr>) {
-        self.send(conn, Payload::Hello(self.identity.clone()));
-        if let Some(addr) = dialled {
-            let effects = self.subscription.on_connected(conn, addr, self.now);
-            effects.into_iter().for_each(|e| self.on_subscription(e));
+        // a node that connects to an edge only asks for the cores
+        let Some(addr) = dialled else { return };
+        let is_core = !self.subscription.is_asked_peer(addr);
+        if is_core {
+            self.send(conn, Payload::Hello(self.identity.clone()));
             self.log_event(LogEvent::SessionEstablished, addr.to_string());
         }
+        let effects = self.subscription.on_connected(conn, addr, self.now);
+        effects.into_iter().for_each(|e| self.on_subscription(e));
     }
 
     fn on_grant(&mut self, no: u64, ok: bool, delta: StateDelta) {
@@ -366,6 +384,7 @@
 
     fn update_edges(&mut self, endpoints: Vec<EdgeEndpoint>) {
         self.ready_edges = ReadyEdge::from_endpoints(&endpoints);
+        self.subscription.update_peers(&endpoints);
         let nodes = endpoints.iter().map(|e| (e.node.clone(), e.zone));
         self.pending_members = nodes.collect();
         self.membership_complete_at
--- a/sorreldoor/src/proxy/daemon.rs
+++ b/sorreldoor/src/proxy/daemon.rs
@@ -14,7 +14,7 @@
 use crate::log_events::{log_event, LogEvent};
 use crate::metrics::{self, EDGE_METRICS};
 use crate::net::{Net, NetEvent};
-use crate::runtime::{event_queue, Clock, EventReceiver, Reducer};
+use crate::runtime::{event_queue, Clock, EventReceiver, EventSender, Reducer};
 use crate::settings::Settings;
 use crate::start_error::{BindSnafu, SignalsSnafu, StartError};
 use crate::subscription::CoreSubscription;
@@ -75,8 +75,9 @@
         ControllerEvent::Net as fn(NetEvent) -> ControllerEvent,
         settings.max_connections,
     );
-    crate::run::on_termination(events, || ControllerEvent::Stop).context(SignalsSnafu)?;
+    crate::run::on_termination(events.clone(), || ControllerEvent::Stop).context(SignalsSnafu)?;
     task::block_on(async move {
+        crate::run::listen_for_nodes(&net, &settings).await?;
         let clients = bind("http", settings.http).await?;
         for endpoint in endpoints {
             let listener = bind("status endpoint", endpoint.addr).await?;
@@ -95,7 +96,8 @@
             shared.clone(),
             settings.max_connections,
         ));
-        run_controller(shared, net, received, grace, &settings).await;
+        let queue = EventQueue { events, received };
+        run_controller(shared, net, queue, grace, &settings).await;
         log_event(LogEvent::Stopped, "edge");
         Ok(())
     })
@@ -143,11 +145,17 @@
     })
 }
 
+/// Both ends of the controller's event queue.
+struct EventQueue {
+    events: EventSender<ControllerEvent>,
+    received: EventReceiver<ControllerEvent>,
+}
+
 /// Steps the controller with events and ticks until the node has drained.
 async fn run_controller<D: Dialect, C: Clock>(
     shared: Arc<SharedState<D, C>>,
     net: Net<ControllerEvent>,
-    events: EventReceiver<ControllerEvent>,
+    queue: EventQueue,
     grace: Duration,
     settings: &Settings,
 ) {
@@ -156,7 +164,7 @@
     let mut drain: Option<Drain> = None;
     loop {
         let wait = tick_at.saturating_duration_since(Instant::now());
-        let event = match timeout(wait, events.recv()).await {
+        let event = match timeout(wait, queue.received.recv()).await {
             Ok(Some(event)) => event,
             Ok(None) => return,
             Err(_) => {
@@ -168,7 +176,7 @@
             drain = Some(Drain::start(&shared, grace.as_millis() as Millis));
         }
         let effects = step(&shared, event);
-        apply_effects(effects, &net, settings);
+        apply_effects(effects, &net, &queue.events, settings);
         shared.wake_queued();
         if Instant::now() >= evict_at {
             evict_at = Instant::now() + EVICTION_INTERVAL;
@@ -198,7 +206,12 @@
     controller.step(event, now)
 }
 
-fn apply_effects(effects: Vec<ControllerEffect>, net: &Net<ControllerEvent>, settings: &Settings) {
+fn apply_effects(
+    effects: Vec<ControllerEffect>,
+    net: &Net<ControllerEvent>,
+    events: &EventSender<ControllerEvent>,
+    settings: &Settings,
+) {
     for effect in effects {
         match effect {
             ControllerEffect::Send(conn, payload) => {
@@ -206,6 +219,11 @@
             }
             ControllerEffect::Connect(addr) => net.dial(addr, settings.dial_address(addr)),
             ControllerEffect::Disconnect(addr) => net.undial(addr),
+            ControllerEffect::ReadSeeds => {
+                if let Some(seeds) = settings.read_seeds() {
+                    let _ = events.try_send(ControllerEvent::SeedsRead(seeds));
+                }
+            }
             ControllerEffect::Log(event, detail) => log_event(event, detail),
         }
     }
--- a/sorreldoor/src/run.rs
+++ b/sorreldoor/src/run.rs
@@ -2,9 +2,14 @@
 //! an edge.
 
 use crate::ids;
+use crate::net::Net;
 use crate::runtime::{EventSender, Prioritized, SendError};
 use crate::settings::Settings;
+use crate::start_error::{BindSnafu, StartError};
 use crate::wire::Hello;
+use async_std::net::TcpListener;
+use async_std::task;
+use snafu::ResultExt;
 use std::io;
 use std::thread;
 use std::time::Duration;
@@ -46,6 +51,23 @@
     Ok(())
 }
 
+/// Accepts connections of other nodes if the settings have an address for them.
+///
+/// # Errors
+/// The address cannot be bound.
+pub async fn listen_for_nodes<E>(net: &Net<E>, settings: &Settings) -> Result<(), StartError>
+where
+    E: Prioritized + Send + 'static,
+{
+    if let Some(address) = settings.listen {
+        let setting = "listen";
+        let bound = TcpListener::bind(address).await;
+        let listener = bound.context(BindSnafu { setting, address })?;
+        task::spawn(net.clone().listen(listener));
+    }
+    Ok(())
+}
+
 /// The first message of an edge to a core. Each call makes a new random id and
 /// incarnation.
 pub fn edge_hello(settings: &Settings) -> Hello {
@@ -55,7 +77,9 @@
         core: false,
         region: settings.region,
         zone: settings.zone,
-        addr: String::new(),
+        addr: settings
+            .listen
+            .map_or(String::new(), |addr| addr.to_string()),
         http: settings.http.to_string(),
         founded: false,
         incarnation: ids::random_id(),
--- a/sorreldoor/src/settings/mod.rs
+++ b/sorreldoor/src/settings/mod.rs
@@ -2,6 +2,9 @@
 //! they are validated as a whole.
 
 mod parse;
+mod seed_source;
+
+pub use seed_source::SeedSource;
 
 use crate::configuration::Site;
 use crate::json::{self, Faults};
@@ -29,13 +32,15 @@
     pub zone: u16,
     /// The region of `zone`, as an index into `names`.
     pub region: RegionId,
-    /// Where a core accepts connections of other nodes; cores only.
+    /// Where it accepts connections of other nodes; `None`: an edge that accepts none.
     pub listen: Option<SocketAddr>,
     /// Where it serves HTTP.
     pub http: SocketAddr,
     /// Addresses at which cores accept connections of other nodes; a process contacts
     /// these first.
     pub seeds: Vec<SocketAddr>,
+    /// Reads the seeds again, which may have changed since; `None`: they do not change.
+    pub seed_source: Option<SeedSource>,
     /// Number of cores that the site is founded with.
     pub cores: usize,
     /// The data folder; cores only.
@@ -131,6 +136,13 @@
         settings.ok_or_else(|| faults.into_list())
     }
 
+    /// The seeds as the settings name them now; `None` if they do not change or cannot
+    /// be read.
+    #[must_use]
+    pub fn read_seeds(&self) -> Option<Vec<SocketAddr>> {
+        self.seed_source.as_ref().and_then(SeedSource::read)
+    }
+
     /// The address to dial for the announced address `addr`.
     #[must_use]
     pub fn dial_address(&self, addr: SocketAddr) -> SocketAddr {
--- a/sorreldoor/src/settings/parse.rs
+++ b/sorreldoor/src/settings/parse.rs
@@ -144,6 +144,7 @@
         http: http.unwrap_or(SocketAddr::from(([127, 0, 0, 1], 0))),
         cores,
         seeds,
+        seed_source: None,
         data_dir,
         platform,
         address_overrides,
--- a/sorreldoor/src/subscription/candidates.rs
+++ b/sorreldoor/src/subscription/candidates.rs
@@ -57,14 +57,12 @@
             return;
         }
         self.hedge_at = now + self.hedge_delay();
-        let n = self.cores.len();
-        let order = (0..n).map(|k| (self.next_core + k) % n);
-        let untried = order
-            .filter(|i| !self.is_tried(self.cores[*i].0))
-            .collect::<Vec<_>>();
-        if let Some(i) = untried.first().copied() {
-            self.next_core = i + 1;
-            self.add_candidate(self.cores[i].0, false, now, effects);
+        let addresses = self.addresses_to_try();
+        let count = addresses.len();
+        let mut order = (0..count).map(|k| (self.next_core + k) % count);
+        if let Some(index) = order.find(|index| !self.is_tried(addresses[*index])) {
+            self.next_core = index + 1;
+            self.add_candidate(addresses[index], false, now, effects);
         }
     }
 
@@ -102,7 +100,8 @@
         now: Millis,
         effects: &mut Vec<SubscriptionEffect>,
     ) {
-        let all_tried = self.cores.iter().all(|(addr, _)| self.is_tried(*addr));
+        let mut addresses = self.addresses_to_try().into_iter();
+        let all_tried = addresses.all(|addr| self.is_tried(addr));
         if all_tried && !self.was_confirmed {
             return;
         }
--- a/sorreldoor/src/subscription/grants.rs
+++ b/sorreldoor/src/subscription/grants.rs
@@ -51,9 +51,10 @@
 
     fn on_confirmed(&mut self, renewal: Renewal, now: Millis) {
         self.lease.remove_answered(renewal);
-        self.lease.extend(renewal.sent_at);
+        self.lease.extend_confirmed(renewal.sent_at);
         self.was_confirmed = true;
         self.isolation = Isolation::new(now);
+        self.stop_search();
         let interval = self.renew_interval(now);
         self.hedge_at = self
             .hedge_at
--- a/sorreldoor/src/subscription/isolation.rs
+++ b/sorreldoor/src/subscription/isolation.rs
@@ -65,6 +65,6 @@
             };
             format!("{addr} {word}")
         };
-        self.cores.iter().map(|(addr, _)| state(addr)).collect()
+        self.addresses_to_try().iter().map(state).collect()
     }
 }
--- a/sorreldoor/src/subscription/lease.rs
+++ b/sorreldoor/src/subscription/lease.rs
@@ -20,6 +20,8 @@
 pub(super) struct Lease {
     pub length_ms: Millis,
     pub expires_at: Millis,
+    /// Until when it is valid by renewals that a core has confirmed.
+    confirmed_until: Millis,
     last_number: u64,
     in_flight: Vec<Renewal>,
 }
@@ -29,6 +31,7 @@
         Lease {
             length_ms,
             expires_at: 0,
+            confirmed_until: 0,
             last_number: 0,
             in_flight: Vec::new(),
         }
@@ -38,6 +41,10 @@
         now < self.expires_at || is_disabled(Invariant::Lease)
     }
 
+    pub fn is_confirmed(&self, now: Millis) -> bool {
+        now < self.confirmed_until
+    }
+
     pub fn remaining_ms(&self, now: Millis) -> Millis {
         self.expires_at.saturating_sub(now)
     }
@@ -75,9 +82,16 @@
         self.expires_at = self.expires_at.max(sent_at + self.length_ms);
     }
 
+    /// As [`Lease::extend`], for a renewal that a core has confirmed.
+    pub fn extend_confirmed(&mut self, sent_at: Millis) {
+        self.extend(sent_at);
+        self.confirmed_until = self.confirmed_until.max(sent_at + self.length_ms);
+    }
+
     /// Ends the lease; grants of renewals sent before no longer extend it.
     pub fn void(&mut self) {
         self.expires_at = 0;
+        self.confirmed_until = 0;
         self.in_flight.clear();
     }
 }
--- a/sorreldoor/src/subscription/mod.rs
+++ b/sorreldoor/src/subscription/mod.rs
@@ -7,9 +7,11 @@
 mod grants;
 mod isolation;
 mod lease;
+mod search;
 
 pub use grants::GrantOutcome;
 
+use crate::core_search::CoreSearch;
 use crate::invariants::{is_disabled, Invariant};
 use crate::net::Conn;
 use crate::pacing::Pacing;
@@ -70,6 +72,7 @@
     /// Whether any core has granted a confirmed renewal since the start.
     was_confirmed: bool,
     isolation: Isolation,
+    search: CoreSearch,
     /// Effects of a grant, returned by the next `tick`.
     pending_effects: Vec<SubscriptionEffect>,
 }
@@ -90,6 +93,10 @@
         /// Which cores may grant it without confirmation.
         unverified: Unverified,
     },
+    /// Ask the node at the other end for the addresses of the cores.
+    AskCores(Conn),
+    /// Read the seeds from the settings again.
+    ReadSeeds,
     /// Log that the session moved to another core, which granted a hedge first.
     SessionReplaced,
     /// Log that the lease was voided after a suspension, with gap and clock jump.
@@ -129,6 +136,7 @@
             unverified_after_ms: None,
             was_confirmed: false,
             isolation: Isolation::new(now),
+            search: CoreSearch::default(),
             pending_effects: Vec::new(),
         }
     }
@@ -207,6 +215,11 @@
         self.lease.is_valid(now)
     }
 
+    /// Whether the lease is valid and a core had confirmed this edge's state for it.
+    pub fn is_confirmed(&self, now: Millis) -> bool {
+        self.lease.is_confirmed(now) || is_disabled(Invariant::ConfirmedRejection)
+    }
+
     /// Milliseconds until the lease expires; 0 if it has.
     pub fn lease_left_ms(&self, now: Millis) -> Millis {
         self.lease.remaining_ms(now)
@@ -239,6 +252,7 @@
         self.drop_late_candidates(now, &mut effects);
         self.open_session(now, &mut effects);
         self.try_home_core(now, &mut effects);
+        self.search_cores(now, &mut effects);
         self.send_hedge(now, &mut effects);
         if self.had_lease != self.has_lease(now) {
             self.had_lease = !self.had_lease;
@@ -300,6 +314,9 @@
             self.conn = Some(conn);
             return vec![self.renew(conn, now)];
         }
+        if self.search.on_connected(addr, conn) {
+            return vec![SubscriptionEffect::AskCores(conn)];
+        }
         let mut effects = Vec::new();
         if let Some(c) = self.candidates.iter_mut().find(|c| c.addr == addr) {
             c.conn = Some(conn);
--- a/sorreldoor/src/wire/codec.rs
+++ b/sorreldoor/src/wire/codec.rs
@@ -5,7 +5,7 @@
 
 /// Version of the protocol, incremented when a frame changes in a way that an
 /// older node cannot decode. Nodes reject frames of any other version.
-pub const PROTOCOL_VERSION: u16 = 7;
+pub const PROTOCOL_VERSION: u16 = 8;
 /// Maximum size of a frame in bytes, without its length prefix: enough for the
 /// largest configuration and the outcomes stored with it in a snapshot.
 pub const MAX_FRAME_BYTES: usize = 16 << 20;
--- a/sorreldoor/src/wire/hello.rs
+++ b/sorreldoor/src/wire/hello.rs
@@ -19,8 +19,8 @@
     pub region: u8,
     /// Index of its zone in the settings of the site.
     pub zone: u16,
-    /// For cores: address, as `IP:PORT`, at which it accepts frames. Edges
-    /// accept none and leave it empty.
+    /// Address, as `IP:PORT`, at which it accepts frames; empty for an edge that
+    /// accepts none.
     pub addr: String,
     /// Address, as `IP:PORT`, at which it serves HTTP.
     pub http: String,
--- a/sorreldoor/src/wire/mod.rs
+++ b/sorreldoor/src/wire/mod.rs
@@ -4,6 +4,7 @@
 mod bootstrap;
 mod claims;
 mod codec;
+mod core_addresses;
 mod hello;
 mod lease;
 mod payload;
@@ -15,6 +16,7 @@
     decode_frame, encode_frame, frame_length, stable_hash, FrameError, MAX_FRAME_BYTES,
     PROTOCOL_VERSION,
 };
+pub use core_addresses::CoreAddresses;
 pub use hello::Hello;
 pub use lease::{EncodedUpdate, KnownVersions, StateDelta, Unverified, LARGE_UPDATE_BYTES};
 pub use payload::{Payload, ProposalOutcome};
--- a/sorreldoor/src/wire/payload.rs
+++ b/sorreldoor/src/wire/payload.rs
@@ -1,7 +1,8 @@
 //! The payload of a frame, and the outcomes of proposals.
 
 use super::{
-    is_default, BootstrapMessage, ClaimVote, ClaimsPage, EdgeStatus, Hello, KnownVersions,
+    is_default, BootstrapMessage, ClaimVote, ClaimsPage, CoreAddresses, EdgeStatus, Hello,
+    KnownVersions,
 };
 use super::{SentRequest, SessionReport, StateDelta, Unverified, VoteId};
 use crate::consensus::{ClaimRecord, Msg};
@@ -186,6 +187,11 @@
     /// Between cores: usage that the sender's edges have reported since it
     /// started, for the tenants whose usage has changed.
     UsageTotals(Vec<TenantUsage>),
+    /// A node that reaches none of the cores it knows asks another node for their
+    /// addresses; no hello need precede it.
+    CoreAddressesRequest,
+    /// Answer to `CoreAddressesRequest`.
+    CoreAddresses(CoreAddresses),
     /// Keeps an idle connection alive.
     Ping {
         /// Always 0; receivers ignore it.
--- a/sorreldoor/src/wire/session.rs
+++ b/sorreldoor/src/wire/session.rs
@@ -41,6 +41,10 @@
     pub http: String,
     /// Whether it was ready to serve at its last renewal.
     pub ready: bool,
+    /// Address, as `IP:PORT`, at which it tells other nodes the addresses of the cores;
+    /// empty if it does not, or if enough others of the list do.
+    #[serde(default, skip_serializing_if = "is_default")]
+    pub addr: String,
     /// Requests in flight if its zone is evacuated, otherwise 0.
     #[serde(default, skip_serializing_if = "is_default")]
     pub running: u32,
--- a/sorreldoor/tests/formats/samples.rs
+++ b/sorreldoor/tests/formats/samples.rs
@@ -9,9 +9,9 @@
 use sorreldoor::replicated_state::{encode, ReplicatedState};
 use sorreldoor::store::DurableState;
 use sorreldoor::wire::{
-    BootstrapMessage, ClaimVote, ClaimsPage, EdgeEndpoint, EdgeSession, EdgeStatus, EncodedUpdate,
-    Hello, KnownVersions, Payload, ProposalOutcome, RouteLatency, SentRequest, SessionReport,
-    StateDelta, Unverified,
+    BootstrapMessage, ClaimVote, ClaimsPage, CoreAddresses, EdgeEndpoint, EdgeSession, EdgeStatus,
+    EncodedUpdate, Hello, KnownVersions, Payload, ProposalOutcome, RouteLatency, SentRequest,
+    SessionReport, StateDelta, Unverified,
 };
 use std::sync::Arc;
 
@@ -139,8 +139,13 @@
         region: 1,
         http: "10.0.0.1:80".into(),
         ready: true,
+        addr: String::new(),
         running: 4,
     };
+    let peer = EdgeEndpoint {
+        addr: "10.0.0.1:71".into(),
+        ..place.clone()
+    };
     let delta = StateDelta {
         record: Some(update),
         record_withheld: true,
@@ -191,6 +196,19 @@
             ok: false,
             delta: StateDelta::default(),
         },
+        Payload::Grant {
+            no: 3,
+            ok: true,
+            delta: StateDelta {
+                edge_sessions: Some((7, vec![peer])),
+                ..StateDelta::default()
+            },
+        },
+        Payload::CoreAddressesRequest,
+        Payload::CoreAddresses(CoreAddresses {
+            addresses: vec!["10.0.0.1:70".into()],
+            confirmed: true,
+        }),
         Payload::OutcomeQuery {
             request_id: 5,
             proposal_id: 1 << 70,
--- a/testbed/src/site/mod.rs
+++ b/testbed/src/site/mod.rs
@@ -102,7 +102,8 @@
     pub pacing: Pacing,
     /// Processor time that events cost cores; `None`: events are instantaneous.
     pub cpu_costs: Option<CpuCosts>,
-    /// The seeds in the settings files, which a process reads at its start.
+    /// The seeds in the settings files; a process reads them at its start, and again while
+    /// it reaches no core.
     pub settings_seeds: Vec<SocketAddr>,
     /// Only the seed cores bootstrap the site; others join it as members.
     pub only_seeds_bootstrap: bool,
--- a/testbed/src/site/process_effects.rs
+++ b/testbed/src/site/process_effects.rs
@@ -83,6 +83,10 @@
             ControllerEffect::Connect(addr) => self.connect(process, addr),
             ControllerEffect::Disconnect(addr) => self.disconnect(process, addr),
             ControllerEffect::Close(conn) => self.close(conn),
+            ControllerEffect::ReadSeeds => {
+                let seeds = self.settings_seeds.clone();
+                self.core_event(process, ControllerEvent::SeedsRead(seeds));
+            }
             ControllerEffect::ChangeDone {
                 request_id,
                 outcome,
@@ -109,6 +113,10 @@
             EdgeEffect::Send(conn, payload) => self.send(process, conn, payload),
             EdgeEffect::Connect(addr) => self.connect(process, addr),
             EdgeEffect::Disconnect(addr) => self.disconnect(process, addr),
+            EdgeEffect::ReadSeeds => {
+                let seeds = self.settings_seeds.clone();
+                self.edge_event(process, EdgeEvent::SeedsRead(seeds));
+            }
             EdgeEffect::ProposalResult(request_id, outcome) => {
                 self.change_answered(request_id, outcome)
             }
@@ -123,6 +131,22 @@
         }
     }
 
+    /// Delivers an event that a core has caused itself.
+    fn core_event(&mut self, process: usize, event: ControllerEvent) {
+        let incarnation = self.processes[process].incarnation;
+        self.deliver_to_process(process, incarnation, move |world| {
+            world.core_step(process, event)
+        });
+    }
+
+    /// Delivers an event that an edge has caused itself.
+    fn edge_event(&mut self, process: usize, event: EdgeEvent) {
+        let incarnation = self.processes[process].incarnation;
+        self.deliver_to_process(process, incarnation, move |world| {
+            world.edge_step(process, event)
+        });
+    }
+
     fn log(&mut self, process: usize, event: LogEvent, message: String) {
         self.log_records.push(LogRecord {
             at: self.now,
--- a/testbed/src/site/processes.rs
+++ b/testbed/src/site/processes.rs
@@ -19,6 +19,8 @@
 const FIRST_SEED_PORT: u16 = 7000;
 /// Ports of cores that replace lost ones, offset by their process index.
 const FIRST_REPLACEMENT_PORT: u16 = 7100;
+/// Ports at which edges accept frames, offset by their process index.
+const FIRST_EDGE_PORT: u16 = 8000;
 pub(super) const SEED_CORES: u16 = 3;
 const EDGE_TICK_MS: Millis = 20;
 const REGISTRY_POLL_MS: Millis = 500;
@@ -39,7 +41,7 @@
     pub core: bool,
     pub zone: u16,
     pub region: u8,
-    /// The address on which a core listens.
+    /// The address on which it accepts frames.
     pub addr: Option<SocketAddr>,
     pub id: u64,
     pub up: bool,
@@ -89,7 +91,10 @@
         }
         for (z, (zone, region)) in zones.iter().enumerate() {
             for i in 0..self.preset.edges_per_zone {
-                self.add(&format!("edge-{zone}-{i}"), false, z as u16, *region, None);
+                let port = FIRST_EDGE_PORT + self.processes.len() as u16;
+                let addr: SocketAddr = ([127, 0, 0, 1], port).into();
+                let name = format!("edge-{zone}-{i}");
+                self.add(&name, false, z as u16, *region, Some(addr));
             }
         }
         for process in 0..self.processes.len() {
--- a/testbed/tests/site/absences.rs
+++ b/testbed/tests/site/absences.rs
@@ -3,6 +3,7 @@
 
 use super::*;
 use sorreldoor::consensus::Member;
+use sorreldoor::invariants::{disable_only, Invariant};
 use sorreldoor::types::Millis;
 
 /// How long an edge is frozen or cut off.
@@ -139,31 +140,42 @@
     members(world).0.iter().any(|member| member.id == id)
 }
 
+/// Has an edge miss the replacement of every core. Returns whether it applies a later
+/// change once it is in touch, and how long after its return.
+fn returns_to_new_cores(seed: u64, absence: Absence) -> (bool, Millis) {
+    let mut world = replaceable_world(seed);
+    let edge = world.edges()[seed as usize % world.edges().len()];
+    let back_at = world.now + EDGE_ABSENCE_MS;
+    absence.begin(&mut world, edge, EDGE_ABSENCE_MS);
+    let cores = world.cores();
+    let core = replace_all(&mut world, &cores, Some((edge, absence)));
+    assert!(world.now < back_at, "seed {seed}: replaced too late");
+    world.run_for(back_at - world.now);
+    let version = change_configuration(&mut world, core);
+    let end = (back_at + CONTACT_MS).max(world.now + APPLY_MS);
+    let applied = world.run_until(end, |world| world.version_at(edge) == Some(version));
+    (applied, world.now - back_at)
+}
+
 #[test]
 fn an_edge_that_was_absent_while_every_core_was_replaced_applies_new_configurations() {
     for seed in seeds(9600..9603) {
         for absence in Absence::ALL {
-            let mut world = replaceable_world(seed);
-            let edge = world.edges()[seed as usize % world.edges().len()];
-            let back_at = world.now + EDGE_ABSENCE_MS;
-            absence.begin(&mut world, edge, EDGE_ABSENCE_MS);
-            let cores = world.cores();
-            let core = replace_all(&mut world, &cores, Some((edge, absence)));
-            assert!(world.now < back_at, "seed {seed}: replaced too late");
-            world.run_for(back_at - world.now);
-            let version = change_configuration(&mut world, core);
-            let end = (back_at + CONTACT_MS).max(world.now + APPLY_MS);
-            let applied = world.run_until(end, |world| world.version_at(edge) == Some(version));
-            assert!(
-                applied,
-                "seed {seed}, {absence:?}: edge has {:?}, not {version}",
-                world.version_at(edge)
-            );
-            println!("seed {seed}, {absence:?}: after {} ms", world.now - back_at);
+            let (applied, after_ms) = returns_to_new_cores(seed, absence);
+            assert!(applied, "seed {seed}, {absence:?}: an old configuration");
+            println!("seed {seed}, {absence:?}: after {after_ms} ms");
         }
     }
 }
 
+#[test]
+fn without_the_search_the_test_above_fails() {
+    disable_only(Some(Invariant::IsolatedNodeSearches));
+    let (applied, _) = returns_to_new_cores(9600, Absence::Frozen);
+    disable_only(None);
+    assert!(!applied, "the mutant is not seen");
+}
+
 #[test]
 fn a_core_that_was_absent_while_the_others_were_replaced_joins_again() {
     for seed in seeds(9610..9613) {
