Unknown routes and keys are 503 while no core confirms the node's state

What callers saw: 404 for a route that was in force, from an edge whose configuration no core confirmed. A client takes 404 and 401 for final. Cause: the proxy answered from whatever configuration it had. Now such a rejection needs a lease that a core has confirmed (unconfirmed grants do not count); without one the answer is 503 no-permit with Retry-After. Nothing has been sent to a worker then. What the configuration allows is served as before. The check is unconfirmed_rejections_are_withheld with the mutant confirmed-rejection, which is the code before; sorreldoor/tests/proxy/confirmed_rejection.rs over sockets. The harness of the proxy's tests now gets its lease from a core, so that their 404 and 401 stay as strict.

--- a/sorreldoor/src/proxy/forward_request.rs
+++ b/sorreldoor/src/proxy/forward_request.rs
@@ -76,15 +76,16 @@
 fn place<D: Dialect, C: Clock>(shared: &SharedState<D, C>, request_id: RequestId) -> Placement {
     let now = shared.now();
     let mut controller = shared.lock();
-    let balancer = &mut controller.balancer;
     if shared.is_queue_closed() {
-        balancer.record_event(request_id, RequestEvent::Shutdown);
+        controller
+            .balancer
+            .record_event(request_id, RequestEvent::Shutdown);
     }
-    let decision = balancer.decide(request_id, now);
+    let decision = controller.decide(request_id, now);
     Placement {
         decision,
-        route: balancer.route(request_id).cloned(),
-        deadline: balancer.deadline(request_id),
+        route: controller.balancer.route(request_id).cloned(),
+        deadline: controller.balancer.deadline(request_id),
     }
 }
 
--- a/sorreldoor/src/proxy/mod.rs
+++ b/sorreldoor/src/proxy/mod.rs
@@ -7,6 +7,7 @@
 //! `upstream::run_attempt`.
 
 mod client;
+mod confirmed_rejection;
 mod controller;
 mod daemon;
 mod delivery;
--- a/sorreldoor/src/proxy/serve_connection.rs
+++ b/sorreldoor/src/proxy/serve_connection.rs
@@ -64,8 +64,7 @@
     let host = host(&head);
     let begun = shared
         .lock()
-        .balancer
-        .begin(host, head.path(), metadata.clone(), now, now);
+        .begin_request(host, head.path(), metadata.clone(), now);
     let request_id = match begun {
         Ok(request_id) => request_id,
         Err(error) => {
--- a/sorreldoor/tests/metrics.rs
+++ b/sorreldoor/tests/metrics.rs
@@ -31,6 +31,7 @@
 fn a_scrape_has_each_metric_with_its_value() {
     let figures = EdgeFigures {
         ready: true,
+        lease_valid: true,
         configuration_version: 138,
         ready_edges: 93,
         counts: Counts {
@@ -46,6 +47,7 @@
         "sorreldoor_rejections_total 2",
         "# TYPE sorreldoor_ready gauge",
         "sorreldoor_ready 1",
+        "sorreldoor_lease_valid 1",
         "sorreldoor_configuration_version 138",
         "sorreldoor_ready_edges 93",
     ] {
--- a/sorreldoor/tests/proxy.rs
+++ b/sorreldoor/tests/proxy.rs
@@ -2,6 +2,12 @@
 
 #[path = "proxy/clients.rs"]
 mod clients;
+#[path = "proxy/confirmed_rejection.rs"]
+mod confirmed_rejection;
+#[path = "proxy/core_contact.rs"]
+mod core_contact;
+#[path = "proxy/event_stream.rs"]
+mod event_stream;
 #[path = "proxy/harness.rs"]
 mod harness;
 #[path = "proxy/keep_alive.rs"]
--- a/testbed/tests/requests.rs
+++ b/testbed/tests/requests.rs
@@ -3,6 +3,10 @@
 
 #[path = "requests/answers.rs"]
 mod answers;
+#[path = "../../sorreldoor/tests/proxy/core_contact.rs"]
+mod core_contact;
+#[path = "../../sorreldoor/tests/proxy/event_stream.rs"]
+mod event_stream;
 #[path = "requests/faults.rs"]
 mod faults;
 #[allow(dead_code)]
