--- a/sorreldoor/src/control_plane/controller/start.rs
+++ b/sorreldoor/src/control_plane/controller/start.rs
@@ -62,7 +62,7 @@
             seed: config.seed,
             consensus: None,
             peer_addresses: PeerAddresses::new(config.seed_addresses),
-            search: CoreSearch::default(),
+            search: CoreSearch::with_peers(config.peers),
             in_contact_at: now,
             connections: Connections::default(),
             distribution: Distribution::default(),
--- a/sorreldoor/src/control_plane/daemon.rs
+++ b/sorreldoor/src/control_plane/daemon.rs
@@ -161,6 +161,7 @@
         },
         site: settings.names.clone(),
         seed_addresses: settings.seeds.clone(),
+        peers: settings.peers.clone(),
         founder_count: settings.cores,
         membership_policy: MembershipPolicy::from(settings),
         timing: settings.pacing.timing(settings.ack_ms),
--- a/sorreldoor/src/control_plane/events.rs
+++ b/sorreldoor/src/control_plane/events.rs
@@ -181,6 +181,8 @@
     pub site: Arc<Site>,
     /// Addresses to connect to before the members are known.
     pub seed_addresses: Vec<SocketAddr>,
+    /// Nodes to ask for the cores' addresses when none is reached.
+    pub peers: Vec<SocketAddr>,
     /// Number of cores that bootstrap the site together.
     pub founder_count: usize,
     /// The required number and distribution of voters.
--- a/sorreldoor/src/core_search.rs
+++ b/sorreldoor/src/core_search.rs
@@ -49,6 +49,14 @@
 }
 
 impl CoreSearch {
+    /// A search that asks these peers at first.
+    #[must_use]
+    pub fn with_peers(peers: Vec<SocketAddr>) -> CoreSearch {
+        let mut search = CoreSearch::default();
+        search.add_peers(peers);
+        search
+    }
+
     /// Remembers peers: nodes that accept frames and answer requests for the cores'
     /// addresses. Those of earlier calls are kept, as far as there is room.
     pub fn add_peers(&mut self, newest: Vec<SocketAddr>) {
--- a/sorreldoor/src/gateway/run.rs
+++ b/sorreldoor/src/gateway/run.rs
@@ -106,6 +106,7 @@
     );
     let pull = CoreSubscription::new(&settings.seeds, settings.lease_ms, 0, clock.now().wall)
         .with_node_name(&settings.node)
+        .with_peers(&settings.peers)
         .with_pacing(&settings.pacing);
     EdgeController::new(hello, cluster, pull)
 }
--- a/sorreldoor/src/net/connection.rs
+++ b/sorreldoor/src/net/connection.rs
@@ -100,7 +100,7 @@
 
 /// Reads a frame of `length` bytes in chunks, so that a slow link may take longer
 /// than `IDLE_TIMEOUT` in total; `None` if the connection fails or times out.
-async fn read_frame(stream: &mut TcpStream, length: usize) -> Option<Vec<u8>> {
+pub(super) async fn read_frame(stream: &mut TcpStream, length: usize) -> Option<Vec<u8>> {
     let mut frame = vec![0; length];
     for chunk in frame.chunks_mut(READ_CHUNK_BYTES) {
         timeout(IDLE_TIMEOUT, stream.read_exact(chunk))
--- a/sorreldoor/src/net/mod.rs
+++ b/sorreldoor/src/net/mod.rs
@@ -2,8 +2,10 @@
 //! lost; every connection has a bounded queue of outgoing frames.
 
 mod connection;
+mod core_query;
 mod outgoing;
 
+pub use core_query::query_core_addresses;
 pub use outgoing::{queue, Closed, Outgoing, OutgoingFrames, Push};
 
 use crate::log_events::{log_event, LogEvent};
--- a/sorreldoor/src/proxy/daemon.rs
+++ b/sorreldoor/src/proxy/daemon.rs
@@ -120,6 +120,7 @@
         now.wall,
     )
     .with_node_name(&settings.node)
+    .with_peers(&settings.peers)
     .with_pacing(&settings.pacing);
     ProxyController::new(identity, settings.names.clone(), subscription, balancer)
 }
--- a/sorreldoor/src/settings/mod.rs
+++ b/sorreldoor/src/settings/mod.rs
@@ -41,6 +41,9 @@
     pub seeds: Vec<SocketAddr>,
     /// Reads the seeds again, which may have changed since; `None`: they do not change.
     pub seed_source: Option<SeedSource>,
+    /// Other nodes to ask for the cores' addresses when none of those known is reached;
+    /// edges that a core names are asked, too.
+    pub peers: Vec<SocketAddr>,
     /// Number of cores that the site is founded with.
     pub cores: usize,
     /// The data folder; cores only.
@@ -153,11 +156,17 @@
     /// nodes with another fingerprint.
     #[must_use]
     pub fn site_fingerprint(&self) -> String {
-        let zones = self.names.zones.iter();
-        let zones: Vec<String> = zones
-            .map(|(zone, region)| format!("{zone}@{region}"))
-            .collect();
-        let regions = self.names.regions.join(",");
-        format!("{}/{}/{}", self.site, regions, zones.join(","))
+        site_fingerprint(&self.site, &self.names)
     }
 }
+
+/// The fingerprint of the site with this name and layout.
+#[must_use]
+pub fn site_fingerprint(name: &str, layout: &Site) -> String {
+    let zones = layout.zones.iter();
+    let zones: Vec<String> = zones
+        .map(|(zone, region)| format!("{zone}@{region}"))
+        .collect();
+    let regions = layout.regions.join(",");
+    format!("{name}/{regions}/{}", zones.join(","))
+}
--- a/sorreldoor/src/settings/parse.rs
+++ b/sorreldoor/src/settings/parse.rs
@@ -145,6 +145,7 @@
         cores,
         seeds,
         seed_source: None,
+        peers: Vec::new(),
         data_dir,
         platform,
         address_overrides,
--- a/sorreldoor/src/subscription/search.rs
+++ b/sorreldoor/src/subscription/search.rs
@@ -14,6 +14,13 @@
 const SEARCH_AFTER_MS: Millis = 2000;
 
 impl CoreSubscription {
+    /// Sets nodes to ask for the cores before other edges are known.
+    #[must_use]
+    pub fn with_peers(mut self, peers: &[SocketAddr]) -> CoreSubscription {
+        self.search.add_peers(peers.to_vec());
+        self
+    }
+
     /// Remembers the other edges that accept frames, to be asked for the cores.
     pub fn update_peers(&mut self, edges: &[EdgeEndpoint]) {
         let others = edges.iter().filter(|edge| edge.node != self.node_name);
--- a/testbed/src/capacity/cores.rs
+++ b/testbed/src/capacity/cores.rs
@@ -28,6 +28,7 @@
             own_hello: self.hello(process, incarnation),
             site: self.site.clone(),
             seed_addresses: self.seeds(),
+            peers: Vec::new(),
             founder_count: self.size.cores,
             membership_policy: MembershipPolicy {
                 target_voters: self.size.cores,
--- a/testbed/src/site/processes.rs
+++ b/testbed/src/site/processes.rs
@@ -198,6 +198,7 @@
             own_hello: me,
             site: self.site.clone(),
             seed_addresses: self.settings_seeds.clone(),
+            peers: Vec::new(),
             founder_count: usize::from(SEED_CORES),
             membership_policy: MembershipPolicy::tolerating(
                 self.tolerated_core_losses,
--- a/testbed/tests/requests.rs
+++ b/testbed/tests/requests.rs
@@ -5,6 +5,7 @@
 mod answers;
 #[path = "../../sorreldoor/tests/proxy/core_contact.rs"]
 mod core_contact;
+#[allow(dead_code)]
 #[path = "../../sorreldoor/tests/proxy/event_stream.rs"]
 mod event_stream;
 #[path = "requests/faults.rs"]
