Random absences of 20 s beside replaced cores; a woken node reports isolation after 3 s

E254 was logged at once after a freeze, before any core had been tried; it now waits 3 s from the wake.

--- a/sorreldoor/src/settings/mod.rs
+++ b/sorreldoor/src/settings/mod.rs
@@ -41,8 +41,8 @@
     pub seeds: Vec<SocketAddr>,
     /// Reads the seeds again, which may have changed since; `None`: they do not change.
     pub seed_source: Option<SeedSource>,
-    /// Other nodes to ask for the cores' addresses when none of those known is reached;
-    /// edges that a core names are asked, too.
+    /// Edges to ask for the cores' addresses when none of those known is reached, beside
+    /// the edges that a core names. None may be a core's own address.
     pub peers: Vec<SocketAddr>,
     /// Number of cores that the site is founded with.
     pub cores: usize,
--- a/sorreldoor/src/subscription/isolation.rs
+++ b/sorreldoor/src/subscription/isolation.rs
@@ -28,6 +28,11 @@
         }
     }
 
+    /// Delays the next report: a node that was suspended has not tried any core yet.
+    pub fn resume(&mut self, now: Millis) {
+        self.report_at = now + REPORT_AFTER_MS;
+    }
+
     /// Milliseconds without a confirmed grant.
     pub fn duration(&self, now: Millis) -> Millis {
         now.saturating_sub(self.since)
--- a/sorreldoor/src/subscription/mod.rs
+++ b/sorreldoor/src/subscription/mod.rs
@@ -237,6 +237,7 @@
             && !is_disabled(Invariant::LeaseVoidAfterSuspension)
         {
             self.lease.void();
+            self.isolation.resume(now);
             self.renew_at = now;
             self.hedge_at = now + self.hedge_delay();
             return Some(SubscriptionEffect::Suspended(format!(
--- a/testbed/tests/site/absences.rs
+++ b/testbed/tests/site/absences.rs
@@ -203,6 +203,86 @@
     }
 }
 
+/// The rounds of a random run, each with absences and one replacement.
+const ROUNDS: usize = 6;
+
+/// Random nodes are absent for 20 s each, frozen, cut off or down, while cores are
+/// replaced one after the other. In the end every node is in touch.
+#[test]
+fn every_node_is_in_touch_after_random_absences_and_replacements() {
+    for seed in seeds(9630..9634) {
+        let mut world = replaceable_world(seed);
+        for _ in 0..ROUNDS {
+            let edges = world.edges();
+            let edge = edges[world.rng.below(edges.len() as u64) as usize];
+            begin_random_absence(&mut world, edge);
+            replace_random_core(&mut world);
+        }
+        world.run_for(CORE_ABSENCE_MS);
+        name_current_cores(&mut world, None);
+        world.run_for(CONTACT_MS);
+        let core = up_cores(&world)[0];
+        let version = change_configuration(&mut world, core);
+        let end = world.now + APPLY_MS;
+        world.run_until(end, |world| outdated_nodes(world, version).is_empty());
+        let outdated = outdated_nodes(&world, version);
+        assert!(
+            outdated.is_empty(),
+            "seed {seed}: {outdated:?} lack {version}"
+        );
+        assert_no_violations(&world, seed);
+    }
+}
+
+fn up_cores(world: &World) -> Vec<usize> {
+    let cores = world.cores().into_iter();
+    cores.filter(|core| world.processes[*core].up).collect()
+}
+
+/// The nodes that are up and have not applied the version.
+fn outdated_nodes(world: &World, version: u64) -> Vec<String> {
+    let all = world.edges().into_iter().chain(up_cores(world));
+    let outdated = all.filter(|node| world.version_at(*node) != Some(version));
+    outdated
+        .map(|node| world.processes[node].name.clone())
+        .collect()
+}
+
+fn begin_random_absence(world: &mut World, edge: usize) {
+    match world.rng.below(3) {
+        0 => Absence::Frozen.begin(world, edge, EDGE_ABSENCE_MS),
+        1 => Absence::CutOff.begin(world, edge, EDGE_ABSENCE_MS),
+        _ if world.processes[edge].up => {
+            world.crash(edge);
+            world.after(EDGE_ABSENCE_MS, move |world| world.start(edge));
+        }
+        _ => {}
+    }
+}
+
+/// Replaces a core that is lost, or that stands still and comes back later.
+fn replace_random_core(world: &mut World) {
+    let cores = up_cores(world);
+    let running = cores
+        .iter()
+        .filter(|c| world.processes[**c].frozen_until <= world.now);
+    let running: Vec<usize> = running.copied().collect();
+    let old = running[world.rng.below(running.len() as u64) as usize];
+    if world.rng.chance(50) {
+        world.crash(old);
+    } else {
+        world.freeze(old, CORE_ABSENCE_MS, false);
+    }
+    let new = start_replacement(world, old, Some(old));
+    let new_id = world.processes[new].id;
+    let votes = move |world: &World| {
+        let (members, in_change) = members(world);
+        members.iter().any(|m| m.id == new_id && m.voter) && !in_change
+    };
+    let end = world.now + REPLACED_MS;
+    world.run_until(end, votes);
+}
+
 /// A machine that starts while none of its seeds exists any more, until its settings
 /// file is written again.
 #[test]
