--- a/testbed/src/fleet.rs
+++ b/testbed/src/fleet.rs
@@ -185,7 +185,7 @@
     }
 
     /// Writes the settings of a node; `reach` maps addresses of cores to links.
-    pub(crate) fn write(&self, i: usize, seeds: &[SocketAddr], reach: &[(SocketAddr, SocketAddr)]) {
+    pub fn write(&self, i: usize, seeds: &[SocketAddr], reach: &[(SocketAddr, SocketAddr)]) {
         let n = &self.nodes[i];
         let mut v = Value::object();
         let mut regions = Value::object();
@@ -209,6 +209,8 @@
         let _ = v.insert("reach", m);
         if let Some(l) = n.listen {
             let _ = v.insert("listen", l.to_string());
+        }
+        if n.core {
             let data = self.root.join(&n.name);
             let _ = v.insert("data", data.display().to_string());
         }
