--- a/testbed/src/fleet.rs
+++ b/testbed/src/fleet.rs
@@ -1,10 +1,11 @@
 //! A complete site on one machine: a process for each node, stub workers, a stub
 //! platform, and links that delay traffic between regions.
 
+use crate::fleet_workers::{start_workers, zones};
 use crate::link::Link;
 pub use crate::presets::{archive, configuration, press, SitePreset};
-use crate::stub_platform::{StubPlatform, WorkerRow};
-use crate::stub_worker::{StubWorker, WorkerProfile};
+use crate::stub_platform::StubPlatform;
+use crate::stub_worker::StubWorker;
 use async_std::task;
 use simd_json::prelude::*;
 use sorreldoor::http::{self, Call, CallError, CompleteResponse};
@@ -30,6 +31,16 @@
     pub links: BTreeMap<String, Link>,
 }
 
+/// Time for all nodes of a role to become ready.
+const START_TIMEOUT: Duration = Duration::from_secs(60);
+/// Interval at which nodes that have ended are restarted during the start.
+const RESTART_INTERVAL: Duration = Duration::from_millis(500);
+/// Interval at which a condition is checked.
+const CHECK_INTERVAL: Duration = Duration::from_millis(50);
+/// Time for the response to a `Fleet::get`.
+const GET_TIMEOUT: Duration = Duration::from_secs(5);
+const MAX_RESPONSE_BYTES: usize = 64 << 20;
+
 static ONE_FLEET_AT_A_TIME: Mutex<()> = Mutex::new(());
 
 /// A running site; its nodes are killed on drop.
@@ -55,10 +66,10 @@
 
 impl ReservedPorts {
     pub fn reserve(&mut self) -> SocketAddr {
-        let l = TcpListener::bind("127.0.0.1:0").expect("loopback has a free port");
-        let a = l.local_addr().expect("a bound socket has an address");
-        self.0.push(l);
-        a
+        let listener = TcpListener::bind("127.0.0.1:0").expect("loopback has a free port");
+        let address = listener.local_addr();
+        self.0.push(listener);
+        address.expect("a bound socket has an address")
     }
 }
 
@@ -92,14 +103,14 @@
         // concurrent fleets would overload the machine
         let exclusive = ONE_FLEET_AT_A_TIME
             .lock()
-            .unwrap_or_else(|p| p.into_inner());
-        let mut f = task::block_on(Fleet::create(root, preset, cores));
-        f.exclusive = Some(exclusive);
-        with(&mut f);
-        for i in 0..f.nodes.len() {
-            f.spawn(i);
+            .unwrap_or_else(|poisoned| poisoned.into_inner());
+        let mut fleet = task::block_on(Fleet::create(root, preset, cores));
+        fleet.exclusive = Some(exclusive);
+        with(&mut fleet);
+        for index in 0..fleet.nodes.len() {
+            fleet.spawn(index);
         }
-        f
+        fleet
     }
 
     async fn create(root: &Path, preset: SitePreset, cores: usize) -> Fleet {
@@ -107,42 +118,19 @@
         let platform = StubPlatform::start(None)
             .await
             .expect("loopback can be bound");
-        let mut workers = Vec::new();
-        let mut rows = Vec::new();
-        let zones: Vec<(&str, &str)> = preset
-            .regions
-            .iter()
-            .flat_map(|(r, zs, _)| zs.iter().map(move |z| (*r, *z)))
-            .collect();
-        for (r, zs, n) in &preset.regions {
-            for i in 0..*n {
-                let m = WorkerProfile::model(&format!("{r}-gpu{i}"));
-                let w = StubWorker::start(m, None)
-                    .await
-                    .expect("loopback can be bound");
-                rows.push(worker_row(&w, "gpu", zs[i % zs.len()]));
-                workers.push(w);
-            }
-        }
-        for i in 0..preset.web_workers {
-            let m = WorkerProfile::web(&format!("web{i}"));
-            let w = StubWorker::start(m, None)
-                .await
-                .expect("loopback can be bound");
-            rows.push(worker_row(&w, "web", zones[i % zones.len()].1));
-            workers.push(w);
-        }
-        platform.change(|l| *l = rows);
+        let (workers, rows) = start_workers(&preset).await;
+        platform.change(|list| *list = rows);
         let mut ports = ReservedPorts::default();
         let mut nodes = Vec::new();
-        for (r, z) in &zones {
-            let name = format!("core-{z}");
-            nodes.push(node(root, &mut ports, name, true, z, r));
-            for i in 0..preset.edges_per_zone {
-                nodes.push(node(root, &mut ports, format!("edge-{z}-{i}"), false, z, r));
+        for (region, zone) in zones(&preset) {
+            let name = format!("core-{zone}");
+            nodes.push(node(root, &mut ports, name, true, zone, region));
+            for index in 0..preset.edges_per_zone {
+                let name = format!("edge-{zone}-{index}");
+                nodes.push(node(root, &mut ports, name, false, zone, region));
             }
         }
-        let mut f = Fleet {
+        let mut fleet = Fleet {
             root: root.to_path_buf(),
             preset,
             nodes,
@@ -154,9 +142,9 @@
             cores,
             exclusive: None,
         };
-        f.connect().await;
+        fleet.connect().await;
         drop(ports);
-        f
+        fleet
     }
 
     /// Starts the links between nodes and cores, and writes the settings.
@@ -164,157 +152,165 @@
         let cores: Vec<(String, String, SocketAddr)> = self
             .nodes
             .iter()
-            .filter_map(|n| n.listen.map(|a| (n.name.clone(), n.region.clone(), a)))
+            .filter_map(|node| Some((node.name.clone(), node.region.clone(), node.listen?)))
             .collect();
-        let seeds: Vec<SocketAddr> = cores.iter().map(|c| c.2).collect();
-        for i in 0..self.nodes.len() {
+        let seeds: Vec<SocketAddr> = cores.iter().map(|(_, _, address)| *address).collect();
+        for index in 0..self.nodes.len() {
             let mut reach = Vec::new();
-            for (name, region, addr) in &cores {
-                let other_region = *region != self.nodes[i].region;
-                let d = if other_region {
+            for (name, region, address) in &cores {
+                let is_remote = *region != self.nodes[index].region;
+                let delay = if is_remote {
                     self.preset.region_delay
                 } else {
                     Duration::ZERO
                 };
-                let l = Link::start(*addr, d).await.expect("loopback can be bound");
-                reach.push((*addr, l.addr));
-                self.nodes[i].links.insert(name.clone(), l);
+                let link = Link::start(*address, delay).await;
+                let link = link.expect("loopback can be bound");
+                reach.push((*address, link.addr));
+                self.nodes[index].links.insert(name.clone(), link);
             }
-            self.write(i, &seeds, &reach);
+            self.write(index, &seeds, &reach);
         }
     }
 
     /// Writes the settings of a node; `reach` maps addresses of cores to links.
-    pub fn write(&self, i: usize, seeds: &[SocketAddr], reach: &[(SocketAddr, SocketAddr)]) {
-        let n = &self.nodes[i];
-        let mut v = Value::object();
+    pub fn write(&self, index: usize, seeds: &[SocketAddr], reach: &[(SocketAddr, SocketAddr)]) {
+        let node = &self.nodes[index];
+        let mut settings = Value::object();
         let mut regions = Value::object();
-        for (r, zs, _) in &self.preset.regions {
-            let zs: Vec<Value> = zs.iter().map(|z| Value::from(*z)).collect();
-            let _ = regions.insert(*r, zs);
+        for (region, zones, _) in &self.preset.regions {
+            let zones: Vec<Value> = zones.iter().map(|zone| Value::from(*zone)).collect();
+            let _ = regions.insert(*region, zones);
         }
-        let _ = v.insert("site", self.preset.site);
-        let _ = v.insert("cores", self.cores);
-        let _ = v.insert("regions", regions);
-        let _ = v.insert("node", n.name.as_str());
-        let _ = v.insert("zone", n.zone.as_str());
-        let _ = v.insert("http", n.http.to_string());
+        let _ = settings.insert("site", self.preset.site);
+        let _ = settings.insert("cores", self.cores);
+        let _ = settings.insert("regions", regions);
+        let _ = settings.insert("node", node.name.as_str());
+        let _ = settings.insert("zone", node.zone.as_str());
+        let _ = settings.insert("http", node.http.to_string());
         let seeds: Vec<Value> = seeds.iter().map(|s| Value::from(s.to_string())).collect();
-        let _ = v.insert("seeds", seeds);
-        let _ = v.insert("platform", self.platform.addr.to_string());
-        let mut m = Value::object();
-        for (a, b) in reach {
-            let _ = m.insert(a.to_string(), b.to_string());
+        let _ = settings.insert("seeds", seeds);
+        let _ = settings.insert("platform", self.platform.addr.to_string());
+        let mut links = Value::object();
+        for (address, link) in reach {
+            let _ = links.insert(address.to_string(), link.to_string());
         }
-        let _ = v.insert("reach", m);
-        if let Some(l) = n.listen {
-            let _ = v.insert("listen", l.to_string());
+        let _ = settings.insert("reach", links);
+        if let Some(listen) = node.listen {
+            let _ = settings.insert("listen", listen.to_string());
         }
-        if n.core {
-            let data = self.root.join(&n.name);
-            let _ = v.insert("data", data.display().to_string());
+        if node.core {
+            let data = self.root.join(&node.name);
+            let _ = settings.insert("data", data.display().to_string());
         }
-        std::fs::write(&n.file, v.encode()).expect("the fleet's folder can be written");
+        std::fs::write(&node.file, settings.encode()).expect("the fleet's folder can be written");
     }
 
     /// The index of the node with this name.
     pub fn node(&self, name: &str) -> usize {
         self.nodes
             .iter()
-            .position(|n| n.name == name)
+            .position(|node| node.name == name)
             .expect("there is a node with this name")
     }
 
     pub fn edges(&self) -> Vec<usize> {
-        (0..self.nodes.len())
-            .filter(|i| !self.nodes[*i].core)
-            .collect()
+        self.with_role(false)
     }
 
     pub fn cores(&self) -> Vec<usize> {
-        (0..self.nodes.len())
-            .filter(|i| self.nodes[*i].core)
+        self.with_role(true)
+    }
+
+    fn with_role(&self, core: bool) -> Vec<usize> {
+        let all = 0..self.nodes.len();
+        all.filter(|index| self.nodes[*index].core == core)
             .collect()
     }
 
-    pub fn call(&self, i: usize, c: Call, within: Duration) -> Result<CompleteResponse, CallError> {
-        task::block_on(http::call(self.nodes[i].http, c, 64 << 20, within))
+    pub fn call(
+        &self,
+        node: usize,
+        call: Call,
+        within: Duration,
+    ) -> Result<CompleteResponse, CallError> {
+        let address = self.nodes[node].http;
+        task::block_on(http::call(address, call, MAX_RESPONSE_BYTES, within))
     }
 
-    pub fn get(&self, i: usize, path: &str) -> Option<(u16, Value)> {
-        let c = self.call(i, Call::get(path), Duration::from_secs(5)).ok()?;
-        Some((
-            c.status,
-            json::parse(&c.body, usize::MAX).unwrap_or_default(),
-        ))
+    pub fn get(&self, node: usize, path: &str) -> Option<(u16, Value)> {
+        let response = self.call(node, Call::get(path), GET_TIMEOUT).ok()?;
+        let value = json::parse(&response.body, usize::MAX).unwrap_or_default();
+        Some((response.status, value))
     }
 
-    /// Waits until `f` holds; false if it does not within `timeout`.
-    pub fn until(&self, timeout: Duration, mut f: impl FnMut(&Fleet) -> bool) -> bool {
+    /// Waits until a condition holds; false if it does not within `timeout`.
+    pub fn until(&self, timeout: Duration, mut condition: impl FnMut(&Fleet) -> bool) -> bool {
         let end = Instant::now() + timeout;
         while Instant::now() < end {
-            if f(self) {
+            if condition(self) {
                 return true;
             }
-            std::thread::sleep(Duration::from_millis(50));
+            std::thread::sleep(CHECK_INTERVAL);
         }
-        f(self)
+        condition(self)
     }
 
-    /// Whether all cores are ready.
-    pub fn founded(&self) -> bool {
-        self.cores()
-            .iter()
-            .all(|i| self.get(*i, "/ready").is_some_and(|(s, _)| s == 200))
+    fn is_ready(&self, node: usize) -> bool {
+        let response = self.get(node, "/ready");
+        response.is_some_and(|(status, _)| status == 200)
+    }
+
+    /// Whether all cores are ready, which bootstraps the site.
+    pub fn is_bootstrapped(&self) -> bool {
+        self.cores().into_iter().all(|core| self.is_ready(core))
     }
 
     /// Whether all edges are ready.
-    pub fn serving(&self) -> bool {
-        self.edges()
-            .iter()
-            .all(|i| self.get(*i, "/ready").is_some_and(|(s, _)| s == 200))
+    pub fn is_serving(&self) -> bool {
+        self.edges().into_iter().all(|edge| self.is_ready(edge))
     }
 
     /// Restarts nodes that have ended: another process may have taken a reserved port
     /// before the node could bind it.
     fn restart_ended(&mut self) {
-        for i in 0..self.nodes.len() {
-            let ended = |c: &mut Child| matches!(c.try_wait(), Ok(Some(_)));
-            if self.nodes[i].child.as_mut().is_some_and(ended) {
-                self.spawn(i);
+        for index in 0..self.nodes.len() {
+            let has_ended = |child: &mut Child| matches!(child.try_wait(), Ok(Some(_)));
+            if self.nodes[index].child.as_mut().is_some_and(has_ended) {
+                self.spawn(index);
             }
         }
     }
 
-    /// Waits up to 60 s until `f` holds, and restarts nodes that have ended.
-    fn wait_for(&mut self, f: fn(&Fleet) -> bool) -> bool {
-        let end = Instant::now() + Duration::from_secs(60);
+    /// Waits until a condition holds, and restarts nodes that have ended.
+    fn wait_for(&mut self, condition: fn(&Fleet) -> bool) -> bool {
+        let end = Instant::now() + START_TIMEOUT;
         while Instant::now() < end {
             self.restart_ended();
-            if self.until(Duration::from_millis(500), f) {
+            if self.until(RESTART_INTERVAL, condition) {
                 return true;
             }
         }
         false
     }
 
-    pub fn wait_until_founded(&mut self) {
+    pub fn wait_until_bootstrapped(&mut self) {
         assert!(
-            self.wait_for(Fleet::founded),
-            "not all cores became ready within 60 s"
+            self.wait_for(Fleet::is_bootstrapped),
+            "not all cores became ready in time"
         );
     }
 
     pub fn wait_until_serving(&mut self) {
         assert!(
-            self.wait_for(Fleet::serving),
-            "not all edges became ready within 60 s"
+            self.wait_for(Fleet::is_serving),
+            "not all edges became ready in time"
         );
     }
 
     /// Waits for the cores, applies the configuration of the preset, waits for the edges.
     pub fn serve(&mut self) {
-        self.wait_until_founded();
+        self.wait_until_bootstrapped();
         let file = self.root.join("setup.json");
         std::fs::write(&file, configuration(&self.preset))
             .expect("the fleet's folder can be written");
@@ -344,16 +340,6 @@
     }
 }
 
-fn worker_row(w: &StubWorker, group: &str, zone: &str) -> WorkerRow {
-    WorkerRow {
-        name: w.profile.name.clone(),
-        addr: w.addr,
-        group: group.into(),
-        zone: zone.into(),
-        leaving: false,
-    }
-}
-
 pub(crate) fn node(
     root: &Path,
     ports: &mut ReservedPorts,
--- a/testbed/src/lib.rs
+++ b/testbed/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod faulty_node;
 pub mod fleet;
 mod fleet_faults;
+mod fleet_workers;
 pub mod gateway_soak;
 pub mod hosted_soak;
 pub mod link;
--- a/testbed/src/main.rs
+++ b/testbed/src/main.rs
@@ -173,7 +173,7 @@
     ])
     .expect("signal handlers can be installed");
     let mut fleet = Fleet::start(&root, preset);
-    fleet.wait_until_founded();
+    fleet.wait_until_bootstrapped();
     let file = root.join("setup.json");
     std::fs::write(&file, configuration(&fleet.preset)).expect("the fleet's folder can be written");
     for node in &fleet.nodes {
--- a/testbed/tests/doctor.rs
+++ b/testbed/tests/doctor.rs
@@ -44,7 +44,7 @@
     let d = std::env::temp_dir().join(format!("sorreldoor-doctor-{}", std::process::id()));
     let _ = std::fs::remove_dir_all(&d);
     let mut f = Fleet::start(&d, small_preset());
-    f.wait_until_founded();
+    f.wait_until_bootstrapped();
     let edge = f.edges()[0];
     assert_finds(&f, edge, &["D15 broken no configuration"], 2);
     let file = f.root.join("setup.json");
--- a/testbed/tests/fleet.rs
+++ b/testbed/tests/fleet.rs
@@ -102,7 +102,7 @@
         f.spawn(i);
     }
     assert!(
-        f.until(TIMEOUT, |f| f.founded()),
+        f.until(TIMEOUT, |f| f.is_bootstrapped()),
         "all cores are ready again"
     );
     for i in f.cores() {
--- a/testbed/tests/process_faults.rs
+++ b/testbed/tests/process_faults.rs
@@ -127,7 +127,7 @@
             f.until(LONG, |f| woken(f, 1)),
             "every edge sees its clock step on"
         );
-        assert!(f.until(LONG, Fleet::serving));
+        assert!(f.until(LONG, Fleet::is_serving));
         step(f, -3_600_000);
         let back = |f: &Fleet, c: usize| {
             let wall = f
@@ -137,12 +137,12 @@
             wall.is_some_and(|w| w < now.map_or(0, |d| d.as_millis() as i64) - 3_000_000)
         };
         assert!(f.until(LONG, |f| f.cores().iter().all(|c| back(f, *c))));
-        assert!(f.until(LONG, Fleet::serving));
+        assert!(f.until(LONG, Fleet::is_serving));
         let (took, _) = change(f, f.edges()[3], 1);
         println!("clocks an hour back: a change took {} ms", took.as_millis());
         step(f, 0);
         assert!(f.until(LONG, |f| woken(f, 2)), "and back again");
-        assert!(f.until(LONG, Fleet::serving));
+        assert!(f.until(LONG, Fleet::is_serving));
         let cores = f.cores();
         for (i, c) in cores.iter().enumerate() {
             f.set_node_faults(*c, r#"{"slow_ms":150}"#);
@@ -161,7 +161,7 @@
             );
             f.set_node_faults(*c, "{}");
             assert!(
-                f.until(LONG, Fleet::founded),
+                f.until(LONG, Fleet::is_bootstrapped),
                 "all cores have a quorum again"
             );
         }
@@ -188,7 +188,10 @@
         // and with one, on the same data folder
         f.kill(last);
         f.spawn(last);
-        assert!(f.until(LONG, Fleet::founded), "it is back with what it had");
+        assert!(
+            f.until(LONG, Fleet::is_bootstrapped),
+            "it is back with what it had"
+        );
     });
     sound(&t);
     assert!(t.served * 100 >= t.requests * 97, "{t:?}");
