A test of redirects waits until the other region's edge is known; slow kills are reported

Traced in the fleet's logs: syncs took 3.2 s (E221), the edge in south applied the configuration 113 ms after the one that was called, and the latter did not know it as ready yet; 503 is right then. The test now waits for /v1/where before; its checks are as they were.

--- a/testbed/src/hosted_soak/processes.rs
+++ b/testbed/src/hosted_soak/processes.rs
@@ -4,6 +4,7 @@
 use super::records::{Disturbance, Records};
 use crate::sync::lock;
 use serde::Serialize;
+use sorreldoor::types::Millis;
 use std::fs;
 use std::io;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
@@ -13,6 +14,8 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+/// A kill that takes longer is reported.
+const SLOW_KILL_MS: Millis = 100;
 /// Ports of every process; each has a loopback address of its own.
 const OPERATOR_PORT: u16 = 7001;
 const EDGE_PORT: u16 = 7002;
@@ -251,9 +254,16 @@
     /// Kills a process with SIGKILL and waits for its end.
     pub fn kill(&self, process: &Process) {
         self.records.disturb(process.index, Disturbance::Unplanned);
+        let begun_at = self.records.now();
         if let Some(mut child) = lock(&process.child).take() {
             let _ = child.kill();
+            let sent_at = self.records.now();
             let _ = child.wait();
+            let ended_at = self.records.now();
+            if ended_at - begun_at > SLOW_KILL_MS {
+                let name = &process.name;
+                eprintln!("kill of {name} begun at {begun_at} ms, sent at {sent_at} ms, ended at {ended_at} ms");
+            }
         }
     }
 
--- a/testbed/tests/doors/request_paths.rs
+++ b/testbed/tests/doors/request_paths.rs
@@ -40,6 +40,18 @@
     }
 }
 
+/// Waits until the edge that is called knows a ready one of a region: a ready edge is named
+/// to the others with their later renewals.
+fn wait_until_edges_are_known(fleet: &Fleet, region: &str) {
+    let path = format!("/v1/where?route=question&region={region}");
+    let edge = fleet.edges()[0];
+    let known = fleet.until(WAIT_LIMIT, |fleet| {
+        let response = fleet.get(edge, &path);
+        response.is_some_and(|(status, _)| status == 200)
+    });
+    assert!(known, "no edge of {region} becomes known");
+}
+
 /// Accepted, rejected and redirected requests get the same under both paths.
 pub fn both_request_paths_work_alike(fleet: &Fleet) {
     let (get, post) = (Method::Get, Method::Post);
@@ -53,6 +65,7 @@
         (post, "/none", "north", b"{}", 404),
         (post, "/page/a", "north", b"{}", 405),
     ];
+    wait_until_edges_are_known(fleet, "south");
     for (method, path, home, body, status) in cases {
         let documented = answer(fleet, DOCUMENTED, method, path, home, body);
         let deprecated = answer(fleet, DEPRECATED, method, path, home, body);
