Null in place of a list is taken out of the document by the edit that makes the list

Cause: validation reads null as an absent list, the stored rest of the document kept it; with the list there too, the text named the key twice, which strict readers refuse. Ruled out: timing and the order of members (none needed); "hosted": null (rejected); null in an edit (400, as before, since entries that were rejected must be rejected when they are replayed).

--- a/sorreldoor/src/control_plane/controller/start.rs
+++ b/sorreldoor/src/control_plane/controller/start.rs
@@ -17,6 +17,7 @@
 use crate::control_plane::worker_list::WorkerListCache;
 use crate::control_plane::zone_history::ZoneHistory;
 use crate::core_search::CoreSearch;
+use crate::log_events::LogEvent;
 use crate::quota::UsageTracker;
 use crate::replicated_state::ReplicatedState;
 use crate::types::Millis;
@@ -92,6 +93,10 @@
                 "this release cannot read the snapshot"
             );
         }
+        if state.was_repaired() {
+            let version = state.version();
+            self.log_event(LogEvent::StateRepaired, format!("serial {version}"));
+        }
         for zone in self.site.zone_indices() {
             self.zone_history
                 .record_at_start(zone, state.zone_changes(zone));
--- a/sorreldoor/src/invariants.rs
+++ b/sorreldoor/src/invariants.rs
@@ -83,6 +83,8 @@
     BaseVersion "base";
     // A change that is rejected leaves no trace in the state.
     RejectionLeavesNoTrace "loser";
+    // The text of a document names each key once.
+    KeyWrittenOnce "key-written-once";
     // A change based on a future version may be retried; it is not rejected for good.
     FutureBase "not-yet";
     // A proposal is applied at most once.
--- a/sorreldoor/src/log_events.rs
+++ b/sorreldoor/src/log_events.rs
@@ -92,6 +92,8 @@
         "nothing; the truncated write was never acknowledged";
     DiskRecovered 224 Info "disk accepts writes again; this core takes part again"
         "nothing";
+    StateRepaired 225 Warn "the stored configuration named a key twice, and was repaired"
+        "nothing; an earlier release wrote it so, and could not have read it again";
     FrameRejected 230 Warn "connection closed because of a rejected frame"
         "find the peer: a node of another site or an older release, or another program";
     SessionEstablished 240 Info "session with a core established"
--- a/sorreldoor/src/replicated_state/apply.rs
+++ b/sorreldoor/src/replicated_state/apply.rs
@@ -51,9 +51,8 @@
     /// not valid.
     fn restore(&mut self, mut data: PersistentState) -> bool {
         let legacy_document = data.legacy_document.take();
-        if let Some(document) = data.document.as_mut() {
-            document.rebuild_index();
-        }
+        let document = data.document.as_mut();
+        let repaired = document.is_some_and(Document::rebuild_index);
         let text = legacy_document.or_else(|| data.document.as_ref().map(|d| Arc::new(d.text())));
         let read = text.map(|text| configuration::parse(text.as_bytes(), &self.site));
         if read.as_ref().is_some_and(|result| result.is_err()) {
@@ -68,6 +67,7 @@
         }
         self.configuration = configuration.map(Arc::new);
         self.data = data;
+        self.repaired = repaired;
         true
     }
 }
--- a/sorreldoor/src/replicated_state/document.rs
+++ b/sorreldoor/src/replicated_state/document.rs
@@ -7,6 +7,7 @@
 use crate::configuration::hosted::Hosted;
 use crate::configuration::hosted_change::{HostedChange, ListChange};
 use crate::configuration::Site;
+use crate::invariants::{is_disabled, Invariant};
 use crate::json::{self, Value};
 use serde::{Deserialize, Serialize};
 use simd_json::prelude::*;
@@ -165,18 +166,41 @@
                 let _ = hosted.insert(key.as_str(), remaining);
             }
         }
+        for key in LISTS {
+            let (set, drop) = (list_at(set, key)?, list_at(drop, key)?);
+            self.list_mut(key).change(key, set, drop, revision)?;
+        }
+        self.remove_present_lists(&mut hosted);
         let rest = DocumentRest {
             outer: self.rest.outer.clone(),
             hosted: Some(json::canonical(&hosted).into()),
         };
         self.set_rest(rest, revision);
-        for key in LISTS {
-            let (set, drop) = (list_at(set, key)?, list_at(drop, key)?);
-            self.list_mut(key).change(key, set, drop, revision)?;
-        }
         Ok(())
     }
 
+    /// Removes the keys of present lists from the rest of the `hosted` section, where
+    /// null stands for an absent list; returns whether there was one.
+    fn remove_present_lists(&self, hosted: &mut Value) -> bool {
+        if is_disabled(Invariant::KeyWrittenOnce) {
+            return false;
+        }
+        let mut removed = false;
+        for (key, list) in self.lists() {
+            removed |= list.present() && hosted.remove(key).is_ok_and(|old| old.is_some());
+        }
+        removed
+    }
+
+    /// The lists with their keys, in the order of the text.
+    fn lists(&self) -> [(&'static str, &ItemList); 3] {
+        [
+            (ROUTES, &self.routes),
+            (SERVICES, &self.services),
+            (TENANTS, &self.tenants),
+        ]
+    }
+
     fn list_mut(&mut self, key: &str) -> &mut ItemList {
         match key {
             SERVICES => &mut self.services,
@@ -219,12 +243,7 @@
         };
         let mut text = String::with_capacity(self.bytes() + 64);
         text.push_str("{\"hosted\":{");
-        let lists = [
-            (ROUTES, &self.routes),
-            (SERVICES, &self.services),
-            (TENANTS, &self.tenants),
-        ];
-        for (key, list) in lists.iter().filter(|(_, l)| l.present()) {
+        for (key, list) in self.lists().iter().filter(|(_, l)| l.present()) {
             text.push_str(&format!("{key:?}:"));
             list.write(&mut text);
             text.push(',');
@@ -268,19 +287,24 @@
         self.tenants.apply(&delta.tenants, revision);
     }
 
-    /// Rebuilds the indices, which are not serialized, and moves tenants that an
-    /// earlier release stored in `rest` to their own list.
-    pub(super) fn rebuild_index(&mut self) {
+    /// Rebuilds the indices, which are not serialized, moves tenants that an earlier
+    /// release stored in `rest` to their own list, and repairs a document in which that
+    /// release kept null beside a list of the same key. Returns whether it was repaired.
+    pub(super) fn rebuild_index(&mut self) -> bool {
         self.services.rebuild_index();
         self.routes.rebuild_index();
         self.tenants.rebuild_index();
         let mut hosted = self.hosted_rest();
         let tenants = hosted.get(TENANTS).and_then(|t| t.as_array()).cloned();
-        if let Some(tenants) = tenants {
+        if let Some(tenants) = &tenants {
             let _ = hosted.remove(TENANTS);
+            self.tenants.replace(Some(tenants), self.rest_revision);
+        }
+        let repaired = self.remove_present_lists(&mut hosted);
+        if tenants.is_some() || repaired {
             self.rest.hosted = Some(json::canonical(&hosted).into());
-            self.tenants.replace(Some(&tenants), self.rest_revision);
         }
+        repaired
     }
 }
 
--- a/sorreldoor/src/replicated_state/mod.rs
+++ b/sorreldoor/src/replicated_state/mod.rs
@@ -81,6 +81,8 @@
     data: PersistentState,
     /// Parsed from the document of `data`.
     configuration: Option<Arc<Configuration>>,
+    /// Whether the snapshot that was loaded last held a document to repair.
+    repaired: bool,
 }
 
 impl ReplicatedState {
@@ -91,9 +93,16 @@
             site,
             data: PersistentState::default(),
             configuration: None,
+            repaired: false,
         }
     }
 
+    /// Whether the snapshot that was loaded last held a document in which a key was
+    /// written twice, as an earlier release could make it.
+    pub fn was_repaired(&self) -> bool {
+        self.repaired
+    }
+
     /// The number of changes of any kind.
     pub fn revision(&self) -> Revision {
         self.data.revision
