What the cores have accepted is read without the limits of what an operator sends

Seen beside it in a test only: an item nested as deep as an edit may be (16) lies at 17 in the document, and could be neither read back nor restored. Now the limits hold where something is sent; accepted text is read without them (restore, join, gateways, read-back). One function measures what edits make (Document::content_bytes); above the limit the answer is 413 with both sizes, no longer 400. A document whose numbers are longer as they are stored (1e15) is measured as stored on the product's own interface too. Ruled out: a stricter measure at acceptance (entries of existing logs that were accepted would be rejected on replay), a larger limit for the reader (two measures again).

--- a/sorreldoor/src/configuration/mod.rs
+++ b/sorreldoor/src/configuration/mod.rs
@@ -7,7 +7,7 @@
 mod parse;
 pub mod tenants;
 
-pub use parse::{parse, MAX_BYTES};
+pub use parse::{parse, parse_accepted, MAX_BYTES};
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
--- a/sorreldoor/src/configuration/parse.rs
+++ b/sorreldoor/src/configuration/parse.rs
@@ -2,20 +2,38 @@
 //! configuration, or a list of all faults.
 
 use super::{hosted_parse, Configuration, Group, Kind, Route, Service, Share, Site, SlowStart};
+use crate::invariants::{is_disabled, Invariant};
 use crate::json::{self, join, Faults, ObjectReader, Value};
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-/// The largest document in bytes.
+/// The largest document that an operator may send, and the largest content of one that
+/// edits may make, in bytes.
 pub const MAX_BYTES: usize = 4 << 20;
 
-/// Parses a document of at most [`MAX_BYTES`]; returns the configuration and the
-/// document's JSON value.
+/// Parses a document that an operator sends, of at most [`MAX_BYTES`]; returns the
+/// configuration and the document's JSON value.
 ///
 /// # Errors
 /// Every fault of the document, as `path: what is wrong`.
 pub fn parse(text: &[u8], site: &Site) -> Result<(Configuration, Value), Vec<String>> {
     let value = json::parse(text, MAX_BYTES).map_err(|error| vec![format!("setup: {error}")])?;
+    validate(value, site)
+}
+
+/// Parses a document that the cores have accepted, as the replicated state writes it. Edits
+/// may have made it larger and nested deeper than [`parse`] allows.
+///
+/// # Errors
+/// As for [`parse`].
+pub fn parse_accepted(text: &str, site: &Site) -> Result<(Configuration, Value), Vec<String>> {
+    if is_disabled(Invariant::AcceptedIsReadable) {
+        return parse(text.as_bytes(), site);
+    }
+    validate(json::parse_canonical(text), site)
+}
+
+fn validate(value: Value, site: &Site) -> Result<(Configuration, Value), Vec<String>> {
     let mut faults = Faults::default();
     let parsed = configuration(&value, site, &mut faults);
     parsed
--- a/sorreldoor/src/error.rs
+++ b/sorreldoor/src/error.rs
@@ -89,6 +89,8 @@
         "add `--base`";
     InvalidConfiguration "bad-setup" 422 false "the configuration is not valid; none of it takes effect"
         "correct the faults that are listed";
+    ConfigurationTooLarge "setup-too-large" 413 false "the configuration would be larger than the limit; none of the change takes effect"
+        "delete items that are not used, or divide the site";
     TooManyConnections "too-many-connections" 503 true "this node has reached its connection limit"
         "raise `max_connections`, or look for clients that leak connections";
     NoConfiguration "no-setup" 503 true "no configuration is in force yet"
--- a/sorreldoor/src/gateway/request_table/cluster_view.rs
+++ b/sorreldoor/src/gateway/request_table/cluster_view.rs
@@ -82,7 +82,7 @@
             .document
             .as_ref()
             .filter(|_| !unchanged)
-            .map(|document| configuration::parse(document.as_bytes(), &self.site));
+            .map(|document| configuration::parse_accepted(document, &self.site));
         self.snapshot.view = view;
         let readable = parsed.as_ref().is_none_or(|result| result.is_ok());
         if let Some(result) = parsed {
--- a/sorreldoor/src/invariants.rs
+++ b/sorreldoor/src/invariants.rs
@@ -85,6 +85,8 @@
     RejectionLeavesNoTrace "loser";
     // The text of a document names each key once.
     KeyWrittenOnce "key-written-once";
+    // A document that the cores have accepted is read whatever its size and depth.
+    AcceptedIsReadable "accepted-readable";
     // A change based on a future version may be retried; it is not rejected for good.
     FutureBase "not-yet";
     // A proposal is applied at most once.
--- a/sorreldoor/src/operator_api.rs
+++ b/sorreldoor/src/operator_api.rs
@@ -80,17 +80,8 @@
         (Method::Get, ["proposals", id]) => parse_proposal_id(id)
             .map(OperatorRequest::Proposal)
             .ok_or(ErrorCode::InvalidRequestField),
-        (Method::Put, ["setup"]) => {
-            document_change(request, |base, document| Command::Put {
-                base,
-                new_version: None,
-                document,
-            })
-            .await
-        }
-        (Method::Patch, ["setup"]) => {
-            document_change(request, |base, patch| Command::MergePatch { base, patch }).await
-        }
+        (Method::Put, ["setup"]) => replacement(request).await,
+        (Method::Patch, ["setup"]) => merge_patch(request).await,
         (Method::Post, ["check"]) => validate(request, site).await,
         (Method::Post, ["zones", zone, "empty"]) => evacuation(request, site, zone, true),
         (Method::Post, ["zones", zone, "return"]) => evacuation(request, site, zone, false),
@@ -113,18 +104,31 @@
     String::from_utf8(body).map_err(|_| ErrorCode::InvalidJson)
 }
 
-/// Reads a change whose body is a configuration or a merge patch.
-async fn document_change(
-    request: &mut Request,
-    command: impl Fn(u64, String) -> Command,
-) -> Result<OperatorRequest, ErrorCode> {
+/// Reads a change whose body is a merge patch.
+async fn merge_patch(request: &mut Request) -> Result<OperatorRequest, ErrorCode> {
     let base = base_version(request)?;
     let proposal_id = given_proposal_id(request)?;
-    let text = body_text(request).await?;
-    Ok(OperatorRequest::Change {
-        proposal_id,
-        cmd: command(base, text),
-    })
+    let patch = body_text(request).await?;
+    let cmd = Command::MergePatch { base, patch };
+    Ok(OperatorRequest::Change { proposal_id, cmd })
+}
+
+async fn replacement(request: &mut Request) -> Result<OperatorRequest, ErrorCode> {
+    let base = base_version(request)?;
+    let proposal_id = given_proposal_id(request)?;
+    let document = body_text(request).await?;
+    // numbers may be longer as they are stored than as they were sent
+    let stored = crate::json::parse(document.as_bytes(), configuration::MAX_BYTES)
+        .map(|value| crate::json::canonical(&value).len());
+    if stored.is_ok_and(|bytes| bytes > configuration::MAX_BYTES) {
+        return Err(ErrorCode::ConfigurationTooLarge);
+    }
+    let cmd = Command::Put {
+        base,
+        new_version: None,
+        document,
+    };
+    Ok(OperatorRequest::Change { proposal_id, cmd })
 }
 
 async fn validate(request: &mut Request, site: &Site) -> Result<OperatorRequest, ErrorCode> {
@@ -182,6 +186,11 @@
             let _ = body.insert("faults", string_list(faults));
             ErrorCode::InvalidConfiguration
         }
+        ProposalOutcome::Committed(Outcome::TooLarge { bytes, max_bytes }) => {
+            let _ = body.insert("bytes", *bytes);
+            let _ = body.insert("max_bytes", *max_bytes);
+            ErrorCode::ConfigurationTooLarge
+        }
         ProposalOutcome::Committed(Outcome::StaleEpoch { epoch }) => {
             let _ = body.insert("epoch", *epoch);
             ErrorCode::StaleVersion
@@ -250,7 +259,7 @@
 ) -> Response {
     let mut body = Value::object();
     let _ = body.insert("serial", version);
-    let document = document.and_then(|text| crate::json::parse(text.as_bytes(), usize::MAX).ok());
+    let document = document.map(crate::json::parse_canonical);
     let _ = body.insert("setup", document.unwrap_or_default());
     let _ = body.insert("emptied", string_list(evacuated));
     http::ok(body)
--- a/sorreldoor/src/replicated_state/apply.rs
+++ b/sorreldoor/src/replicated_state/apply.rs
@@ -54,7 +54,7 @@
         let document = data.document.as_mut();
         let repaired = document.is_some_and(Document::rebuild_index);
         let text = legacy_document.or_else(|| data.document.as_ref().map(|d| Arc::new(d.text())));
-        let read = text.map(|text| configuration::parse(text.as_bytes(), &self.site));
+        let read = text.map(|text| configuration::parse_accepted(&text, &self.site));
         if read.as_ref().is_some_and(|result| result.is_err()) {
             return false;
         }
--- a/sorreldoor/src/replicated_state/change.rs
+++ b/sorreldoor/src/replicated_state/change.rs
@@ -11,6 +11,32 @@
 /// Faults of a rejected change, each as `path: what is wrong`.
 type Faults = Vec<String>;
 
+/// Why an operator's change is rejected.
+enum Rejection {
+    /// The result would not be a valid configuration.
+    Invalid(Faults),
+    /// The content of the document would be larger than [`configuration::MAX_BYTES`].
+    TooLarge { bytes: usize },
+}
+
+impl From<Faults> for Rejection {
+    fn from(faults: Faults) -> Rejection {
+        Rejection::Invalid(faults)
+    }
+}
+
+impl From<Rejection> for Outcome {
+    fn from(rejection: Rejection) -> Outcome {
+        match rejection {
+            Rejection::Invalid(faults) => Outcome::Invalid { faults },
+            Rejection::TooLarge { bytes } => Outcome::TooLarge {
+                bytes: bytes as u64,
+                max_bytes: configuration::MAX_BYTES as u64,
+            },
+        }
+    }
+}
+
 impl ReplicatedState {
     /// The outcome of a command and the state after it, without applying it.
     #[must_use]
@@ -27,10 +53,10 @@
                 new_version,
                 document,
             } => self.change_version(base, new_version, |state| {
-                state.replace_document(document.into_bytes())
+                Ok(state.replace_document(document.into_bytes())?)
             }),
             Command::MergePatch { base, patch } => {
-                self.change_version(base, None, |state| state.merge_patch(&patch))
+                self.change_version(base, None, |state| Ok(state.merge_patch(&patch)?))
             }
             Command::ChangeItems {
                 base,
@@ -55,7 +81,11 @@
                 base,
                 zone,
                 evacuated,
-            } => self.change_version(base, None, |state| state.set_evacuated(zone, evacuated)),
+            } => self.change_version(
+                base,
+                None,
+                |state| Ok(state.set_evacuated(zone, evacuated)?),
+            ),
             Command::AcquireRole {
                 holder,
                 previous_epoch,
@@ -78,7 +108,7 @@
         &mut self,
         base: Version,
         new_version: Option<Version>,
-        change: impl FnOnce(&mut ReplicatedState) -> Result<(), Faults>,
+        change: impl FnOnce(&mut ReplicatedState) -> Result<(), Rejection>,
     ) -> Outcome {
         // of two changes that build on one version, only the first may be applied
         if base != self.data.version && !is_disabled(Invariant::BaseVersion) {
@@ -96,7 +126,7 @@
             return Outcome::Invalid { faults };
         }
         match change(self) {
-            Err(faults) => Outcome::Invalid { faults },
+            Err(rejection) => rejection.into(),
             Ok(()) => {
                 self.data.version = version;
                 self.raise_revision()
@@ -246,14 +276,14 @@
         ])?;
         let fault = |error| vec![format!("edit: {error}")];
         let patch = json::parse(patch.as_bytes(), configuration::MAX_BYTES).map_err(fault)?;
-        let mut value = json::parse(document.as_bytes(), usize::MAX).map_err(fault)?;
+        let mut value = json::parse_canonical(&document);
         json::merge(&mut value, &patch);
         self.replace_document(json::canonical(&value).into_bytes())
     }
 
     /// Changes items of the document, at a cost that depends on the size of the
     /// change rather than of the document.
-    fn change_items(&mut self, set: &str, drop: &str) -> Result<(), Faults> {
+    fn change_items(&mut self, set: &str, drop: &str) -> Result<(), Rejection> {
         let parse = |text: &str| {
             json::parse(text.as_bytes(), configuration::MAX_BYTES).map_err(items_fault)
         };
@@ -262,14 +292,12 @@
         document
             .change_items(&set, &drop, self.data.revision + 1)
             .map_err(items_fault)?;
-        if document.bytes() > configuration::MAX_BYTES {
-            let max = configuration::MAX_BYTES;
-            return Err(items_fault(format!(
-                "the configuration would be larger than {max} bytes"
-            )));
+        let bytes = document.content_bytes();
+        if bytes > configuration::MAX_BYTES {
+            return Err(Rejection::TooLarge { bytes });
         }
         let Some(current) = self.configuration.clone() else {
-            return self.replace_document(document.text().into_bytes());
+            return Ok(self.replace_document(document.text().into_bytes())?);
         };
         let changed = self.configuration_with(&current, &document, &set, &drop)?;
         self.configuration = Some(Arc::new(changed));
--- a/sorreldoor/src/replicated_state/command.rs
+++ b/sorreldoor/src/replicated_state/command.rs
@@ -164,6 +164,13 @@
         /// Every fault found, as `PATH: what is wrong`.
         faults: Vec<String>,
     },
+    /// Rejected for good: the configuration would be larger than the limit.
+    TooLarge {
+        /// The size that its content would have.
+        bytes: u64,
+        /// The limit.
+        max_bytes: u64,
+    },
     /// Rejected for good: another holder has acquired the role since.
     #[serde(rename = "OldEpoch")]
     StaleEpoch {
--- a/sorreldoor/src/replicated_state/document.rs
+++ b/sorreldoor/src/replicated_state/document.rs
@@ -21,6 +21,8 @@
 const TENANTS: &str = "tenants";
 /// The lists that are stored item by item, in the order they are validated.
 const LISTS: [&str; 3] = [SERVICES, ROUTES, TENANTS];
+/// The names and brackets of the section and of its lists in a document's text.
+pub const LIST_NAMES_BYTES: usize = r#""hosted":,"routes":[],"services":[],"tenants":[],"#.len();
 
 /// The document without the lists that are stored item by item, as canonical
 /// JSON.
@@ -229,8 +231,10 @@
         }
     }
 
-    /// The approximate length of the text in bytes.
-    pub fn bytes(&self) -> usize {
+    /// The size of the content in bytes, which is limited: the items of the lists,
+    /// each with its separator, and the rest. The text has at most
+    /// [`LIST_NAMES_BYTES`] more.
+    pub fn content_bytes(&self) -> usize {
         let hosted = self.rest.hosted.as_ref().map_or(0, |h| h.len());
         let lists = self.routes.bytes() + self.services.bytes() + self.tenants.bytes();
         self.rest.outer.len() + hosted + lists
@@ -241,7 +245,7 @@
         let Some(hosted) = &self.rest.hosted else {
             return self.rest.outer.to_string();
         };
-        let mut text = String::with_capacity(self.bytes() + 64);
+        let mut text = String::with_capacity(self.content_bytes() + LIST_NAMES_BYTES);
         text.push_str("{\"hosted\":{");
         for (key, list) in self.lists().iter().filter(|(_, l)| l.present()) {
             text.push_str(&format!("{key:?}:"));
--- a/sorreldoor/tests/formats/commands.rs
+++ b/sorreldoor/tests/formats/commands.rs
@@ -76,5 +76,9 @@
         Outcome::StaleEpoch { epoch: 2 },
         Outcome::BaseAhead { version: 3 },
         Outcome::Unknown { version: 3 },
+        Outcome::TooLarge {
+            bytes: 4_194_305,
+            max_bytes: 4_194_304,
+        },
     ]
 }
--- a/testbed/src/capacity/cores.rs
+++ b/testbed/src/capacity/cores.rs
@@ -265,7 +265,7 @@
                 self.record_applied_changes();
             }
             // an invalid configuration stays invalid; the report shows it as missing
-            ProposalOutcome::Committed(Outcome::Invalid { .. }) => {
+            ProposalOutcome::Committed(Outcome::Invalid { .. } | Outcome::TooLarge { .. }) => {
                 self.pending.remove(i);
             }
             _ => {
--- a/testbed/src/site/proposals.rs
+++ b/testbed/src/site/proposals.rs
@@ -132,9 +132,9 @@
                 ProposalOutcome::Committed(Outcome::Applied { version }) => {
                     Some((*at, Answer::Committed(*version)))
                 }
-                ProposalOutcome::Committed(Outcome::Stale { .. } | Outcome::Invalid { .. }) => {
-                    Some((*at, Answer::Rejected))
-                }
+                ProposalOutcome::Committed(
+                    Outcome::Stale { .. } | Outcome::Invalid { .. } | Outcome::TooLarge { .. },
+                ) => Some((*at, Answer::Rejected)),
                 _ => None,
             });
         Operation {
@@ -334,7 +334,7 @@
                 self.proposals.newest_known_version =
                     self.proposals.newest_known_version.max(version)
             }
-            Outcome::Invalid { .. } => {}
+            Outcome::Invalid { .. } | Outcome::TooLarge { .. } => {}
             _ => return,
         }
         self.proposals.attempts[attempt].acknowledged = true;
