A core that took part in the first start goes on with the founding after a restart

Cause: `bootstrap` is true at the very first start only; a core started again before the founding promised nothing any more and withdrew its promise, while the others waited for it. Now the seeds of the first start are stored, synced, before the core has an identity or sends anything, and a restart goes on with them. Ruled out: that voiding the promise protected anything (promise and saves are in one store; restarts with bootstrap still true have always kept it); founding without the missing core (two sets of founders). Still open: a founder that loses its disk before the founding.

--- a/sorreldoor/src/control_plane/bootstrap/peer_addresses.rs
+++ b/sorreldoor/src/control_plane/bootstrap/peer_addresses.rs
@@ -19,6 +19,8 @@
 #[derive(Debug)]
 pub struct PeerAddresses {
     seeds: Vec<SocketAddr>,
+    /// The seeds of the site's first start.
+    founding_seeds: Vec<SocketAddr>,
     /// The members' addresses as received from a founded core.
     discovered: BTreeSet<SocketAddr>,
     /// Addresses that a search for the cores has found.
@@ -33,12 +35,21 @@
     pub fn new(seeds: Vec<SocketAddr>) -> PeerAddresses {
         PeerAddresses {
             seeds,
+            founding_seeds: Vec::new(),
             discovered: BTreeSet::new(),
             found: BTreeSet::new(),
             connected: BTreeSet::new(),
         }
     }
 
+    /// Adds the seeds of the site's first start, which are wanted until this core has a
+    /// list of members.
+    #[must_use]
+    pub fn with_founding_seeds(mut self, seeds: Vec<SocketAddr>) -> PeerAddresses {
+        self.founding_seeds = seeds;
+        self
+    }
+
     /// Replaces the members' addresses by those received from a founded core.
     pub fn discover(&mut self, addresses: BTreeSet<SocketAddr>) {
         self.discovered = addresses;
@@ -55,12 +66,13 @@
     /// Drops a seed that turned out to be this core's own address.
     pub fn remove_own(&mut self, own: SocketAddr) {
         self.seeds.retain(|seed| *seed != own);
+        self.founding_seeds.retain(|seed| *seed != own);
         self.connected.remove(&own);
     }
 
     /// Recomputes the wanted addresses: the seeds, what a search has found, and every
-    /// other member, or the discovered addresses while this core has no list of members. Returns the
-    /// difference to those in use.
+    /// other member; while this core has no list of members, also the discovered addresses
+    /// and the founding seeds. Returns the difference to those in use.
     pub fn reconcile(
         &mut self,
         own_id: NodeId,
@@ -74,6 +86,7 @@
             .collect();
         if members.is_empty() {
             wanted.extend(&self.discovered);
+            wanted.extend(&self.founding_seeds);
         }
         wanted.extend(&self.seeds);
         wanted.extend(&self.found);
--- a/sorreldoor/src/control_plane/controller/start.rs
+++ b/sorreldoor/src/control_plane/controller/start.rs
@@ -62,7 +62,8 @@
             timing: config.timing,
             seed: config.seed,
             consensus: None,
-            peer_addresses: PeerAddresses::new(config.seed_addresses),
+            peer_addresses: PeerAddresses::new(config.seed_addresses)
+                .with_founding_seeds(config.founding_seeds.unwrap_or_default()),
             search: CoreSearch::with_peers(config.peers),
             in_contact_at: now,
             connections: Connections::default(),
@@ -108,9 +109,9 @@
 }
 
 fn bootstrap_options(config: &ControllerConfig) -> bootstrap::Options {
-    let seeds = config.seed_addresses.iter().copied();
+    let seeds = config.founding_seeds.iter().flatten().copied();
     bootstrap::Options {
-        enabled: config.may_bootstrap,
+        enabled: config.founding_seeds.is_some(),
         allowed_founders: config.only_seeds_bootstrap.then(|| seeds.collect()),
         founder_count: config.founder_count,
         promised_founders: config.promised_founders.clone(),
--- a/sorreldoor/src/control_plane/daemon.rs
+++ b/sorreldoor/src/control_plane/daemon.rs
@@ -87,11 +87,15 @@
 {
     let settings = Arc::new(settings);
     let mut store = storage_driver::open(&settings.data_dir.clone().unwrap_or_default())?;
+    let founding_seeds = storage_driver::founding_seeds(&mut store, &settings);
     let id = storage_driver::identity(&mut store);
     let (events, queue) = runtime::event_queue(MAX_QUEUED_EVENTS);
     let address = settings.listen.context(NoListenAddressSnafu)?;
     let listener = bind("listen", address)?;
-    let config = controller_config(&settings, &store, id, address, source.as_deref());
+    let config = ControllerConfig {
+        founding_seeds,
+        ..controller_config(&settings, &store, id, address, source.as_deref())
+    };
     let mut controller = Controller::new(config, store.consensus_state(), 0);
     let net = start_net(&settings, listener, &events);
     let clock = Arc::new(clock);
@@ -169,8 +173,7 @@
         promised_founders: store.value("promise").and_then(decode::<Vec<Member>>),
         claims_caught_up: store.value("sure").is_some(),
         max_claims: settings.max_claims,
-        // a core whose damaged state was discarded had already joined the site
-        may_bootstrap: settings.bootstrap && !store.must_rejoin(),
+        founding_seeds: None,
         only_seeds_bootstrap: settings.grow,
         pacing: settings.pacing.clone(),
         worker_poll_ms: unversioned.map(|source| source.poll_interval_ms()),
--- a/sorreldoor/src/control_plane/events.rs
+++ b/sorreldoor/src/control_plane/events.rs
@@ -197,10 +197,10 @@
     pub claims_caught_up: bool,
     /// Maximum number of idempotency claims in the table.
     pub max_claims: usize,
-    /// Whether this core, if blank, may bootstrap a site; otherwise it only joins
-    /// one.
-    pub may_bootstrap: bool,
-    /// Whether only the cores at the seed addresses bootstrap the site; further ones
+    /// The seeds of the site's first start if this core takes part in it, and may
+    /// bootstrap the site while it is blank; `None` for a core that only joins one.
+    pub founding_seeds: Option<Vec<SocketAddr>>,
+    /// Whether only the cores at the founding seeds bootstrap the site; further ones
     /// join it.
     pub only_seeds_bootstrap: bool,
     /// Intervals of periodic work.
--- a/sorreldoor/src/control_plane/storage_driver.rs
+++ b/sorreldoor/src/control_plane/storage_driver.rs
@@ -3,20 +3,27 @@
 
 use super::events::ControllerEvent;
 use crate::consensus::Save;
+use crate::invariants::{is_disabled, Invariant};
 use crate::log_events::{log_event, LogEvent};
 use crate::replicated_state::{decode, encode};
 use crate::runtime::EventSender;
+use crate::settings::Settings;
 use crate::start_error::{OpenStoreSnafu, StartError};
 use crate::store::{Directory, DurableStore, OpenedStore, Store};
 use crate::sync::lock;
 use async_std::channel::{bounded, Receiver, Sender};
 use snafu::ResultExt;
 use std::io;
+use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
+/// Store key of the core's id.
+const IDENTITY_KEY: &str = "identity";
+/// Store key of the seeds of the first start.
+const FOUNDING_SEEDS_KEY: &str = "founding-seeds";
 /// Maximum number of queued saves.
 const MAX_QUEUED: usize = 4096;
 /// Maximum number of saves in one sync.
@@ -80,15 +87,39 @@
 /// The core's id from the store; a blank store gets a random one, which is synced
 /// before it is used.
 pub(super) fn identity(store: &mut DurableStore<Directory>) -> u64 {
-    if let Some(id) = store.value("identity").and_then(decode::<u64>) {
+    if let Some(id) = store.value(IDENTITY_KEY).and_then(decode::<u64>) {
         return id;
     }
     let id = crate::ids::random_id() >> 1;
-    retry_until_synced(|| store.put("identity", &encode(&id)));
+    retry_until_synced(|| store.put(IDENTITY_KEY, &encode(&id)));
     log_event(LogEvent::IdentityCreated, format!("{id:x}"));
     id
 }
 
+/// The seeds of the site's first start, if this core takes part in it. A core that starts
+/// for the first time and may bootstrap stores them before it has an identity, so that a
+/// restart before the site is bootstrapped goes on with them, whatever the settings say then.
+pub(super) fn founding_seeds(
+    store: &mut DurableStore<Directory>,
+    settings: &Settings,
+) -> Option<Vec<SocketAddr>> {
+    // a core whose damaged state was discarded had already joined the site
+    if store.must_rejoin() {
+        return None;
+    }
+    if !settings.bootstrap {
+        return store
+            .value(FOUNDING_SEEDS_KEY)
+            .and_then(decode)
+            .filter(|_| !is_disabled(Invariant::FoundingRemembered));
+    }
+    if store.value(IDENTITY_KEY).is_none() {
+        let seeds = encode(&settings.seeds);
+        retry_until_synced(|| store.put(FOUNDING_SEEDS_KEY, &seeds));
+    }
+    Some(settings.seeds.clone())
+}
+
 fn retry_until_synced(mut put: impl FnMut() -> io::Result<()>) {
     let mut failed_before = false;
     while let Err(error) = put() {
--- a/sorreldoor/src/invariants.rs
+++ b/sorreldoor/src/invariants.rs
@@ -87,6 +87,8 @@
     KeyWrittenOnce "key-written-once";
     // A document that the cores have accepted is read whatever its size and depth.
     AcceptedIsReadable "accepted-readable";
+    // A core that took part in a site's first start goes on with it after a restart.
+    FoundingRemembered "founding-remembered";
     // A change based on a future version may be retried; it is not rejected for good.
     FutureBase "not-yet";
     // A proposal is applied at most once.
--- a/testbed/src/capacity/cores.rs
+++ b/testbed/src/capacity/cores.rs
@@ -40,7 +40,7 @@
             promised_founders: None,
             claims_caught_up: false,
             max_claims: self.size.most_claims,
-            may_bootstrap: true,
+            founding_seeds: Some(self.seeds()),
             only_seeds_bootstrap: false,
             pacing: Pacing::default(),
             worker_poll_ms: None,
--- a/testbed/src/site/processes.rs
+++ b/testbed/src/site/processes.rs
@@ -9,6 +9,8 @@
 use sorreldoor::control_plane::{Controller, ControllerConfig, ControllerEvent};
 use sorreldoor::gateway::request_table::ClusterView;
 use sorreldoor::gateway::{EdgeController, EdgeEvent};
+use sorreldoor::invariants::{is_disabled, Invariant};
+use sorreldoor::replicated_state::{decode, encode};
 use sorreldoor::subscription::CoreSubscription;
 use sorreldoor::types::Millis;
 use sorreldoor::wire::Hello;
@@ -21,6 +23,8 @@
 const FIRST_REPLACEMENT_PORT: u16 = 7100;
 /// Ports at which edges accept frames, offset by their process index.
 const FIRST_EDGE_PORT: u16 = 8000;
+/// The name under which a core's disk has the seeds of the first start.
+const FOUNDING_SEEDS_KEY: &str = "founding-seeds";
 pub(super) const SEED_CORES: u16 = 3;
 const EDGE_TICK_MS: Millis = 20;
 const REGISTRY_POLL_MS: Millis = 500;
@@ -74,6 +78,21 @@
     pub attempts: BTreeMap<u64, Attempt>,
 }
 
+/// As a core's daemon does: the seeds of the site's first start, which a core that may
+/// bootstrap has on disk before it sends anything.
+fn founding_seeds(process: &mut Process, settings_seeds: &[SocketAddr]) -> Option<Vec<SocketAddr>> {
+    let values = &mut process.disk.durable.values;
+    if process.may_bootstrap {
+        let encoded = encode(&settings_seeds);
+        values.entry(FOUNDING_SEEDS_KEY.into()).or_insert(encoded);
+        return Some(settings_seeds.to_vec());
+    }
+    let stored = values.get(FOUNDING_SEEDS_KEY);
+    stored
+        .and_then(|seeds| decode(seeds))
+        .filter(|_| !is_disabled(Invariant::FoundingRemembered))
+}
+
 /// The address of the seed core with this number.
 #[must_use]
 pub(super) fn seed_address(seed: u16) -> SocketAddr {
@@ -193,6 +212,7 @@
         timing.snapshot_entries = self.snapshot_entries.unwrap_or(timing.snapshot_entries);
         let state = &mut self.processes[process];
         state.disk.open();
+        let founding_seeds = founding_seeds(state, &self.settings_seeds);
         let stored = Some(&state.disk.durable).filter(|stored| !stored.has_no_saves());
         let config = ControllerConfig {
             own_hello: me,
@@ -210,7 +230,7 @@
             promised_founders: state.promised_founders.clone(),
             claims_caught_up: state.claims_caught_up,
             max_claims: self.max_claims,
-            may_bootstrap: state.may_bootstrap,
+            founding_seeds,
             only_seeds_bootstrap: self.only_seeds_bootstrap,
             pacing: self.pacing.clone(),
             worker_poll_ms: self.singleton_poll_ms,
