Simulator: a worker that is restarted while it runs drops its requests as in a crash

Traced: two crashes of worker ulaanbaatar-gpu0 overlap; the second one's restart came at 17,414 ms while the worker was up again with the client's stream, raised its incarnation, and the stream was neither continued nor reported as broken to the edge. No process can do that. A restart of a running worker is now a crash and a start; the check and its bound are as they were.

--- a/testbed/src/site/workers.rs
+++ b/testbed/src/site/workers.rs
@@ -255,8 +255,11 @@
         }
     }
 
-    /// Starts a worker with an empty cache.
+    /// Starts a worker with an empty cache; one that is up crashes first.
     pub fn restart_worker(&mut self, worker: usize) {
+        if self.workers[worker].up {
+            self.crash_worker(worker);
+        }
         let state = &mut self.workers[worker];
         state.up = true;
         state.incarnation += 1;
