A test of full restarts waits until every core has the newest change

Traced: the check comes the moment the edges have the change; k1 follows a leader and applies it within the next 20 ms (a follower learns of a commit with the next append or heartbeat). The test now waits 500 ms at most for all cores, the bound that it has for the leader, and then checks as before.

--- a/testbed/tests/site/restarts.rs
+++ b/testbed/tests/site/restarts.rs
@@ -124,6 +124,12 @@
             time_until(&mut world, 3000, proved).is_some(),
             "seed {seed}"
         );
+        // a follower may learn of the newest commit with the next heartbeat
+        let everywhere = |world: &World| world.lost_acknowledged_changes().is_empty();
+        assert!(
+            time_until(&mut world, 500, everywhere).is_some(),
+            "seed {seed}"
+        );
         assert_no_violations(&world, seed);
     }
     let show = |what: &str, v: &mut Vec<Millis>| {
