--- a/sorreldoor/src/replicated_state/document.rs
+++ b/sorreldoor/src/replicated_state/document.rs
@@ -233,7 +233,7 @@
 
     /// The size of the content in bytes, which is limited: the items of the lists,
     /// each with its separator, and the rest. The text has at most
-    /// [`LIST_NAMES_BYTES`] more.
+    /// `LIST_NAMES_BYTES` more.
     pub fn content_bytes(&self) -> usize {
         let hosted = self.rest.hosted.as_ref().map_or(0, |h| h.len());
         let lists = self.routes.bytes() + self.services.bytes() + self.tenants.bytes();
